--- /dev/null
+++ b/router/router.go
@@ -0,0 +1,835 @@
+package router
+
+// Router decides for one gateway: which edge cache a download is pulled from, who fills a miss, whether the
+// copy is kept, and when to pull again, throttle or abandon. A front makes one with New and hands every event
+// to Handle, in order and with its clock; Handle returns the actions to carry out. The types of both are in
+// door.go. Leave Copy Down decides the ordinary path (Download.seek, Holders); docs/design.md tells where and
+// why other code steps in.
+//
+// The parts (Download, Node, Holders, purges) talk only by notes put into inboxes that Handle's loop empties.
+
+import (
+	"cmp"
+	"fmt"
+	"hash/fnv"
+	"math"
+	"slices"
+)
+
+const (
+	span    = 4000.0 // ms over which nodes are judged: some dozen pulls a node, yet a crash shows within it
+	buckets = 8      // of time in that span
+)
+
+type Router struct {
+	foot     Footprint
+	now      float64
+	born     float64
+	chance   Chance
+	queue    []note
+	out      []Action
+	nodes    map[string]*Node
+	all      []*Node // by id, so that no map's order decides
+	dls      map[string]*Download
+	types    map[string]*Type
+	alarms   map[int64]note
+	token    int64
+	holders  Holders
+	purges   Purges
+	firsts   Ring // pulls that were a download's first
+	furthers Ring // and all others
+	volume   Ring // sending time asked for
+}
+
+type part interface{ take(r *Router, n note) }
+
+type topic int
+
+const (
+	arrived topic = iota
+	offered
+	declined
+	granted
+	released
+	ended
+	due
+	listed
+	probed
+	learned
+	voided
+)
+
+// note is what parts tell each other.
+type note struct {
+	to    part
+	topic topic
+	pull  *pull
+	from  *Node
+	event Event
+}
+
+// New makes a router that waits for its Started.
+func New() *Router {
+	return &Router{nodes: map[string]*Node{}, dls: map[string]*Download{}, types: map[string]*Type{},
+		alarms: map[int64]note{}, firsts: NewRing(span, buckets), furthers: NewRing(span, buckets),
+		volume: NewRing(span, buckets), holders: Holders{entries: map[object]*entry{}},
+		purges: Purges{objects: map[string]float64{}, groups: map[int64]float64{}}}
+}
+
+// Handle is the door: ids become objects here, and the one loop empties all inboxes.
+func (r *Router) Handle(now float64, e Event) []Action {
+	r.now, r.out = now, r.out[:0]
+	switch e := e.(type) {
+	case Started:
+		r.start(e)
+	case Listed:
+		r.list(e)
+	case Arrived:
+		r.arrive(e)
+	case Ended:
+		if d := r.dls[e.ID]; d != nil && e.Pull >= 0 && e.Pull < len(d.pulls) && d.pulls[e.Pull].out {
+			r.post(note{to: d, topic: ended, pull: d.pulls[e.Pull], event: e})
+		}
+	case Streaming:
+		if d := r.dls[e.ID]; d != nil {
+			d.streaming = true
+		}
+	case Left:
+		if d := r.dls[e.ID]; d != nil {
+			d.finish(r)
+		}
+	case Rang:
+		if n, ok := r.alarms[e.Token]; ok {
+			delete(r.alarms, e.Token)
+			r.post(n)
+		}
+	case Purged:
+		r.post(note{to: &r.purges, topic: voided, event: e})
+		r.post(note{to: &r.holders, topic: voided, event: e})
+	case Probed:
+		if n := r.nodes[e.Node]; n != nil {
+			r.post(note{to: n, topic: probed, event: e})
+		}
+	}
+	for len(r.queue) > 0 {
+		n := r.queue[0]
+		r.queue = r.queue[1:]
+		n.to.take(r, n)
+	}
+	return r.out
+}
+
+func (r *Router) post(n note)  { r.queue = append(r.queue, n) }
+func (r *Router) do(a Action)  { r.out = append(r.out, a) }
+func (r *Router) log(s string) { r.do(Log{Text: s}) }
+
+func (r *Router) alarm(at float64, n note) {
+	r.token++
+	r.alarms[r.token] = n
+	r.do(Alarm{At: at, Token: r.token})
+}
+
+func (r *Router) start(e Started) {
+	r.foot, r.born, r.chance = e.Footprint, r.now, Chance(e.Seed|1)
+	for i := range r.foot.list("types") {
+		t := &Type{name: r.foot.textAt("types", i), repeat: r.foot.textAt("repeat", i),
+			scope: r.foot.textAt("dedupe group", i), window: r.foot.numAt("dedupe window", i),
+			fresh: r.foot.numAt("fresh", i), grace: r.foot.numAt("grace", i),
+			target: r.foot.numAt("target", i), stretch: r.foot.numAt("stretch", i),
+			write: r.foot.flagAt("writes", i), count: NewRing(4*span, buckets), time: NewRing(4*span, buckets)}
+		r.types[t.name] = t
+	}
+	if r.foot.text("list") == "asked" {
+		r.do(Watch{})
+	}
+}
+
+func (r *Router) list(e Listed) {
+	if e.Scope == NoList {
+		r.alarm(r.now+span/buckets, note{to: asker{}, topic: due})
+		return
+	}
+	named := map[string]bool{}
+	for _, entry := range e.Entries {
+		named[entry.Node] = true
+		n := r.nodes[entry.Node]
+		if n == nil {
+			n = newNode(entry.Node)
+			r.nodes[n.id] = n
+			i, _ := slices.BinarySearchFunc(r.all, n, func(a, b *Node) int { return cmp.Compare(a.id, b.id) })
+			r.all = slices.Insert(r.all, i, n)
+		}
+		r.post(note{to: n, topic: listed, event: entry})
+	}
+	for _, n := range r.all {
+		if e.Scope != Changes && !named[n.id] {
+			r.post(note{to: n, topic: listed, event: Entry{Node: n.id, State: Gone}})
+		}
+	}
+}
+
+// asker asks for the list again where a call for it failed.
+type asker struct{}
+
+func (asker) take(r *Router, _ note) { r.do(Watch{}) }
+
+// Type is a content type: what may be done with it, and what it was seen to take.
+type Type struct {
+	name, repeat, scope  string
+	window, fresh, grace float64
+	target, stretch      float64
+	write                bool
+	count, time          Ring
+}
+
+// sending is the mean time to send one of this type, unloaded; half its target time until some were seen.
+func (t *Type) sending(now float64) float64 {
+	if n := t.count.Sum(now); n > 0 {
+		return t.time.Sum(now) / n
+	}
+	return t.target / 2
+}
+
+func hash(words ...string) uint64 {
+	h := fnv.New64a()
+	for _, w := range words {
+		h.Write([]byte(w))
+		h.Write([]byte{0})
+	}
+	return mix(h.Sum64())
+}
+
+func mix(x uint64) uint64 {
+	x = (x ^ x>>33) * 0xff51afd7ed558ccd
+	x = (x ^ x>>33) * 0xc4ceb9fe1a85ec53
+	return x ^ x>>33
+}
+
+// rank orders nodes by rendezvous hash: whoever leaves moves only its own objects, and gateways agree.
+func (r *Router) rank(nodes []*Node, key uint64) []*Node {
+	sized := r.foot.text("weights") == "nominal" || r.foot.text("weights") == "rough"
+	scores := make(map[*Node]float64, len(nodes))
+	for _, n := range nodes {
+		u := (float64(mix(n.hash^key)>>11) + 0.5) / (1 << 53)
+		w := 1.0
+		if sized && n.weight > 0 {
+			w = n.weight
+		}
+		scores[n] = -w / math.Log(u)
+	}
+	slices.SortStableFunc(nodes, func(a, b *Node) int { return cmp.Compare(scores[b], scores[a]) })
+	return nodes
+}
+
+func (r *Router) tier(role role, zone string) []*Node {
+	var in []*Node
+	for _, n := range r.all {
+		if n.state != Gone && n.role == role && (zone == "" || n.zone == zone) {
+			in = append(in, n)
+		}
+	}
+	return in
+}
+
+type object struct {
+	name string
+	part int64
+}
+
+// pull is one pull of a download: at is the node asked, source fills its misses.
+type pull struct {
+	dl     *Download
+	at     *Node
+	source *Node
+	out    bool
+	may    bool // it may have run
+	sent   float64
+	cost   float64 // sending time, of the mean of its type
+	last   bool    // nothing healthier is left
+}
+
+// Download is one request for an object, from its landing to its one final answer.
+type Download struct {
+	id        string
+	typ       *Type
+	key       object
+	group     int64
+	expiry    float64
+	landed    float64
+	size      float64
+	write     bool
+	edges     []*Node // in hash order
+	parents   []*Node
+	pulls     []*pull
+	no        []*Node // who declined since the last pull
+	last      bool
+	done      bool
+	streaming bool
+}
+
+func (r *Router) arrive(e Arrived) {
+	t := r.types[e.Type]
+	if t == nil {
+		r.do(Abandon{ID: e.ID})
+		r.log("unknown content type " + e.Type)
+		return
+	}
+	d := &Download{id: e.ID, typ: t, key: object{e.Object, e.Part}, group: e.Group, expiry: e.Expiry,
+		landed: r.now, write: e.Write || t.write}
+	if flow := r.foot.num("flow"); flow > 0 && e.Size > 0 {
+		d.size = e.Size / flow
+		t.count.Add(r.now, 1)
+		t.time.Add(r.now, d.size)
+	}
+	r.dls[d.id] = d
+	key := hash(e.Object, fmt.Sprint(e.Part))
+	d.edges = r.rank(r.tier(edge, r.foot.text("zone")), key)
+	d.parents = r.rank(r.tier(parent, ""), mix(key))
+	r.volume.Add(r.now, t.sending(r.now))
+	if !d.write && r.holders.heat(r, d) && len(d.edges) > 1 && d.edges[1].out < d.edges[0].out {
+		d.edges[0], d.edges[1] = d.edges[1], d.edges[0]
+	}
+	r.post(note{to: d, topic: arrived})
+}
+
+func (d *Download) take(r *Router, n note) {
+	switch n.topic {
+	case declined:
+		d.no = append(d.no, n.from)
+		d.seek(r)
+	case granted:
+		d.send(r, n.pull)
+	case ended:
+		d.end(r, n.pull, n.event.(Ended))
+	default:
+		if !d.done && d.waiting() == 0 {
+			d.no, d.last = nil, false
+			d.seek(r)
+		}
+	}
+}
+
+func (d *Download) waiting() int {
+	n := 0
+	for _, p := range d.pulls {
+		if p.out {
+			n++
+		}
+	}
+	return n
+}
+
+// free tells whether a pull may go to a node without an effect happening twice.
+func (d *Download) free(r *Router, to *Node) bool {
+	for _, p := range d.pulls {
+		if !p.may && !p.out || d.typ.repeat == "retriable" {
+			continue
+		}
+		if d.typ.repeat != "deduped" || r.now >= p.sent+d.typ.window {
+			return false
+		}
+		if d.typ.scope == "zone" && p.at.zone != to.zone || d.typ.scope == "cell" && p.at.cell != to.cell {
+			return false
+		}
+	}
+	return true
+}
+
+// seek offers the next pull: to the first edge cache in hash order that has been tried least, its miss to be
+// filled by the first parent in hash order, else by the origin.
+func (d *Download) seek(r *Router) {
+	if d.done {
+		return
+	}
+	left := d.expiry - r.now
+	if left <= 1 || len(d.pulls) >= int(r.foot.num("most pulls")) {
+		d.giveUp(r)
+		return
+	}
+	origins := r.tier(origin, "")
+	var at, source *Node
+	ok := func(n *Node) bool { return !slices.Contains(d.no, n) }
+	least := math.MaxInt
+	for _, n := range d.edges {
+		tried := 0
+		for _, p := range d.pulls {
+			if p.at == n {
+				tried++
+			}
+		}
+		if ok(n) && n.state == Running && d.free(r, n) && tried < least {
+			at, least = n, tried
+		}
+	}
+	sources := append(slices.Clone(d.parents), origins...)
+	if d.write {
+		sources = origins
+	}
+	for _, n := range sources {
+		if source == nil && ok(n) && n.state == Running {
+			source = n
+		}
+	}
+	if r.foot.flag("direct") && (d.write || at == nil) {
+		at = source
+		if len(origins) > 0 {
+			source = origins[0]
+		}
+	}
+	if at == nil || source == nil || !d.free(r, at) {
+		if !d.last {
+			d.no, d.last = nil, true
+			d.seek(r)
+			return
+		}
+		d.hold(r)
+		return
+	}
+	p := &pull{dl: d, at: at, source: source, cost: d.typ.sending(r.now), last: d.last}
+	r.post(note{to: at, topic: offered, pull: p})
+}
+
+// hold keeps a download that nobody may take now, as long as it could still be answered in time.
+func (d *Download) hold(r *Router) {
+	again := r.now + span/buckets/5
+	if again+d.typ.sending(r.now) > math.Min(d.landed+d.typ.target, d.expiry) {
+		d.giveUp(r)
+		return
+	}
+	r.alarm(again, note{to: d, topic: due})
+}
+
+func (d *Download) send(r *Router, p *pull) {
+	if d.done {
+		r.post(note{to: p.at, topic: released, pull: p})
+		r.post(note{to: p.source, topic: released, pull: p})
+		return
+	}
+	a := Pull{ID: d.id, Node: p.at.id, Source: p.source.id, Timeout: d.expiry - r.now}
+	if len(d.pulls) == 0 {
+		r.firsts.Add(r.now, 1)
+	} else {
+		r.furthers.Add(r.now, 1)
+	}
+	if d.typ.repeat == "retriable" && len(d.pulls) < 2 {
+		a.Timeout *= 0.6
+	}
+	if !d.write {
+		if len(d.parents) > 0 && r.holders.holds(r, d.key, d.parents[0]) {
+			a.Rank = 1
+		}
+		if r.foot.flag("join") {
+			a.How |= Join
+		}
+		if d.typ.fresh > 0 {
+			a.How |= Renew
+		}
+		a.MaxAge = r.purges.limit(r, d)
+	}
+	p.out, p.sent = true, r.now
+	d.pulls, d.no, d.last = append(d.pulls, p), nil, false
+	p.at.out++
+	r.do(a)
+}
+
+func (d *Download) end(r *Router, p *pull, e Ended) {
+	p.out = false
+	switch e.Status {
+	case TurnedAway, NotConnected, NeverSent, Missed:
+	default:
+		p.may = true
+	}
+	p.at.out--
+	r.post(note{to: p.at, topic: ended, pull: p, event: e})
+	if p.source != p.at {
+		r.post(note{to: p.source, topic: ended, pull: p, event: e})
+	}
+	if e.Status == Fulfilled && !d.write {
+		r.post(note{to: &r.holders, topic: learned, pull: p, event: e})
+		if d.size == 0 && (e.Note == Held || e.Note == NotTold) {
+			d.typ.count.Add(r.now, 1)
+			d.typ.time.Add(r.now, e.Took)
+		}
+	}
+	if e.Closed {
+		d.finish(r)
+	} else if !d.done && d.waiting() == 0 && !d.streaming {
+		if r.furthers.Sum(r.now) > 5+0.3*r.firsts.Sum(r.now) {
+			d.giveUp(r)
+			return
+		}
+		d.seek(r)
+	} else if d.done && d.waiting() == 0 {
+		delete(r.dls, d.id)
+	}
+}
+
+// giveUp is the final answer where no pull will bring one. A throttling reply promises that trying again does
+// no harm, so it needs every pull known not to have run, or a type for which that does not matter.
+func (d *Download) giveUp(r *Router) {
+	safe := true
+	for _, p := range d.pulls {
+		if p.may && d.typ.repeat != "retriable" && !(d.typ.repeat == "deduped" && d.typ.scope == "all") {
+			safe = false
+		}
+	}
+	if safe {
+		r.do(Throttle{ID: d.id, Wait: math.Min(200, r.foot.num("longest advice"))})
+	} else {
+		r.do(Abandon{ID: d.id})
+	}
+	d.finish(r)
+}
+
+func (d *Download) finish(r *Router) {
+	d.done = true
+	for i, p := range d.pulls {
+		if p.out && r.foot.flag("call off") && !d.streaming {
+			r.do(CallOff{ID: d.id, Pull: i})
+		}
+	}
+	if d.waiting() == 0 {
+		delete(r.dls, d.id)
+	}
+}
+
+type role int
+
+const (
+	edge role = iota
+	parent
+	origin
+)
+
+type standing int
+
+const (
+	trusted standing = iota
+	aside
+	returning
+)
+
+// Node is a cache, a parent or the origin. It alone accepts or declines what is offered to it, as a pull's
+// target or as the source of its fill, so every rule about nodes has its one gate here.
+type Node struct {
+	id, kind, zone string
+	hash           uint64
+	role           role
+	state          State
+	weight         float64
+	cell           int64
+	booted         float64
+	out            int
+	good, bad      Ring
+	spent          Ring // sending time charged while cold
+	took           Ring // sending time fulfilled
+	standing       standing
+	since          float64
+	probes         int
+}
+
+func newNode(id string) *Node {
+	return &Node{id: id, hash: hash(id), state: Gone, good: NewRing(span, buckets), bad: NewRing(span, buckets),
+		took: NewRing(span, buckets)}
+}
+
+func (n *Node) take(r *Router, m note) {
+	switch m.topic {
+	case listed:
+		n.list(r, m.event.(Entry))
+	case offered:
+		if !n.admits(r, m.pull) {
+			if m.pull.source == n && m.pull.at != n {
+				r.post(note{to: m.pull.at, topic: released, pull: m.pull})
+			}
+			r.post(note{to: m.pull.dl, topic: declined, pull: m.pull, from: n})
+			return
+		}
+		n.charge(r, m.pull.cost)
+		if m.pull.at == n && m.pull.source != n {
+			r.post(note{to: m.pull.source, topic: offered, pull: m.pull})
+		} else {
+			r.post(note{to: m.pull.dl, topic: granted, pull: m.pull})
+		}
+	case released:
+		n.charge(r, -m.pull.cost)
+	case ended:
+		n.end(r, m.pull, m.event.(Ended))
+	case probed:
+		n.probed(r, m.event.(Probed))
+	case due:
+		if n.standing == aside && n.state == Running {
+			r.do(Probe{Node: n.id})
+		}
+	}
+}
+
+func (n *Node) list(r *Router, e Entry) {
+	if e.State == Gone {
+		n.state = Gone
+		return
+	}
+	if n.state == Gone || n.booted != e.Booted {
+		// A process that starts anew owes nothing to what was seen of the old one.
+		n.good.Clear()
+		n.bad.Clear()
+		n.standing = trusted
+		n.spent = NewRing(r.foot.num("fall time")*1.25, 10)
+	}
+	n.kind, n.zone, n.cell, n.weight, n.booted, n.state = e.Kind, e.Zone, e.Cell, e.Weight, e.Booted, e.State
+	n.role = edge
+	if i := slices.Index(r.foot.list("kinds"), any(e.Kind)); i >= 0 {
+		if i == int(r.foot.num("parent kind")) {
+			n.role = parent
+		} else if i == int(r.foot.num("origin kind")) {
+			n.role = origin
+		}
+	}
+}
+
+// warmth is the least part of its capacity that a node that started lately can give: from what it had a
+// window ago, on the slowest warming allowed.
+func (n *Node) warmth(r *Router) float64 {
+	from, time := r.foot.num("cold share"), r.foot.num("cold time")
+	if n.role == parent {
+		from, time = r.foot.num("parent cold share"), r.foot.num("parent cold time")
+	}
+	if n.booted <= 0 || n.role == origin || time <= 0 {
+		return 1
+	}
+	return min(1, from+(1-from)*max(0, r.now-r.foot.num("fall time")-n.booted)/time)
+}
+
+// budget is the sending time that this gateway may ask of a cold node in one window.
+func (n *Node) budget(r *Router) float64 {
+	multiple, gateways := r.foot.num("fall multiple"), r.foot.num("gateways")
+	if n.role == parent {
+		multiple = r.foot.num("parent fall multiple")
+	} else if i := slices.Index(r.foot.list("zones"), any(n.zone)); i >= 0 && r.foot.numAt("gateways by zone", i) > 0 {
+		gateways = r.foot.numAt("gateways by zone", i)
+	}
+	window := r.foot.num("fall time")
+	if w := r.foot.text("weights"); w == "nominal" || w == "rough" {
+		return 0.6 * multiple * n.warmth(r) * n.weight * window / max(1, gateways)
+	}
+	least := 0.0
+	for _, m := range r.all {
+		if m != n && m.role == n.role && m.state == Running && m.warmth(r) == 1 {
+			if took := m.took.Sum(r.now) * window / span; least == 0 || took < least {
+				least = took
+			}
+		}
+	}
+	return 0.6 * multiple * n.warmth(r) * least
+}
+
+func (n *Node) charge(r *Router, cost float64) {
+	if n.warmth(r) < 1 {
+		n.spent.Add(r.now, cost)
+	}
+}
+
+func (n *Node) admits(r *Router, p *pull) bool {
+	if n.state != Running {
+		return false
+	}
+	if n.warmth(r) < 1 {
+		// A gateway that has just started doesn't know what it spent in its former life.
+		if r.now < r.born+r.foot.num("fall time") && n.booted < r.born {
+			return false
+		}
+		if n.spent.Sum(r.now)+p.cost > n.budget(r) {
+			return false
+		}
+	}
+	switch n.standing {
+	case aside:
+		return p.last
+	case returning:
+		return p.last || r.chance.Below() < 0.1+(r.now-n.since)/span
+	}
+	return true
+}
+
+func (n *Node) end(r *Router, p *pull, e Ended) {
+	switch e.Status {
+	case Fulfilled:
+		if n == p.at || e.Note != Held {
+			n.good.Add(r.now, 1)
+		}
+		n.took.Add(r.now, p.cost)
+		if n != p.at && (e.Note == Held || e.Note == JoinedFill) {
+			n.refund(r, p)
+		}
+	case Failed, TimedOut, NotConnected, Broken:
+		n.bad.Add(r.now, 1)
+	case TurnedAway:
+		n.bad.Add(r.now, 0.5)
+	}
+	if n.standing == returning && r.now-n.since > span {
+		n.standing = trusted
+	}
+	if n.role == origin || n.standing == aside {
+		return
+	}
+	if good, bad := n.good.Sum(r.now), n.bad.Sum(r.now); good+bad >= 5 && bad/(good+bad) > 0.25+2*n.median(r) {
+		n.standing, n.since, n.probes = aside, r.now, 0
+		r.log(fmt.Sprintf("%s set aside: %.1f of %.1f pulls failed", n.id, bad, good+bad))
+		r.alarm(r.now+span/buckets, note{to: n, topic: due})
+	}
+}
+
+// refund gives back what a source was charged for a fill that was not needed.
+func (n *Node) refund(r *Router, p *pull) {
+	if n.warmth(r) < 1 {
+		n.spent.Add(p.sent, -p.cost)
+	}
+}
+
+// median is the share of failures of the other nodes of this kind of work.
+func (n *Node) median(r *Router) float64 {
+	var shares []float64
+	for _, m := range r.all {
+		if good, bad := m.good.Sum(r.now), m.bad.Sum(r.now); m != n && m.role == n.role && good+bad > 0 {
+			shares = append(shares, bad/(good+bad))
+		}
+	}
+	if len(shares) == 0 {
+		return 0
+	}
+	slices.Sort(shares)
+	return shares[(len(shares)-1)/2]
+}
+
+func (n *Node) probed(r *Router, e Probed) {
+	if n.standing != aside {
+		return
+	}
+	if n.probes++; e.Status != Fulfilled {
+		n.probes = 0
+	}
+	if n.probes >= 3 {
+		n.standing, n.since = returning, r.now
+		n.good.Clear()
+		n.bad.Clear()
+		r.log(n.id + " is back")
+		return
+	}
+	r.alarm(r.now+span/buckets, note{to: n, topic: due})
+}
+
+// Holders is the table of Leave Copy Down: which objects the hashed parent holds, as far as this router saw.
+type Holders struct {
+	entries map[object]*entry
+	order   []*entry // oldest first, with dead ones among them
+}
+
+type entry struct {
+	key    object
+	group  int64
+	parent *Node
+	at     float64
+	heat   Ring
+}
+
+const (
+	holdersMost = 1 << 15  // entries; some minutes of a busy gateway's objects
+	holdersAge  = 60_000.0 // ms that stand in for the parent's characteristic time
+	heatSpan    = 10_000.0 // ms of an object's recent sending time
+)
+
+func (h *Holders) get(r *Router, d *Download) *entry {
+	e := h.entries[d.key]
+	if e == nil {
+		e = &entry{key: d.key, group: d.group, heat: NewRing(heatSpan, 4)}
+		h.entries[d.key] = e
+		h.order = append(h.order, e)
+		for len(h.entries) > holdersMost {
+			delete(h.entries, h.order[0].key)
+			h.order = h.order[1:]
+		}
+	}
+	return e
+}
+
+// heat counts a download and tells whether its object is hot here: it alone asks for a quarter of what a
+// cache of this location gets on average.
+func (h *Holders) heat(r *Router, d *Download) bool {
+	e := h.get(r, d)
+	work := d.size
+	if work == 0 {
+		work = d.typ.sending(r.now)
+	}
+	e.heat.Add(r.now, work)
+	return e.heat.Sum(r.now)/heatSpan > 0.25*r.volume.Sum(r.now)/span/float64(len(d.edges)+1)
+}
+
+func (h *Holders) holds(r *Router, key object, parent *Node) bool {
+	e := h.entries[key]
+	return e != nil && e.parent == parent && r.now-e.at < holdersAge
+}
+
+func (h *Holders) take(r *Router, n note) {
+	switch e := n.event.(type) {
+	case Ended:
+		d := n.pull.dl
+		home := len(d.parents) > 0 && (n.pull.source == d.parents[0] || n.pull.at == d.parents[0])
+		filled := e.Note != Held && e.Note != HeldOld
+		if home && filled {
+			entry := h.get(r, d)
+			entry.parent, entry.at = d.parents[0], r.now
+		}
+	case Purged:
+		for _, entry := range h.order {
+			if entry.group == e.Group && (e.Object == "" || entry.key.name == e.Object) {
+				entry.parent = nil
+			}
+		}
+	}
+}
+
+// Purges remembers what may still be held in copies older than a purge.
+type Purges struct {
+	objects map[string]float64 // when the newest purge was
+	groups  map[int64]float64
+}
+
+const purgeMargin = 2.0 // ms, against rounding on the way
+
+func (p *Purges) take(r *Router, n note) {
+	e := n.event.(Purged)
+	at := r.now - e.Age
+	if e.Object == "" {
+		p.groups[e.Group] = max(at, p.groups[e.Group])
+	} else {
+		p.objects[e.Object] = max(at, p.objects[e.Object])
+	}
+	settled := r.now - r.foot.num("purge settles") - 100*purgeMargin
+	for k, at := range p.objects {
+		if at < settled {
+			delete(p.objects, k)
+		}
+	}
+	for k, at := range p.groups {
+		if at < settled {
+			delete(p.groups, k)
+		}
+	}
+}
+
+// limit is the oldest copy that a pull may be answered from; 0, which leaves it to the type, only where no
+// purge is in force.
+func (p *Purges) limit(r *Router, d *Download) float64 {
+	at, ok := p.objects[d.key.name]
+	if g, also := p.groups[d.group]; also && (!ok || g > at) {
+		at, ok = g, true
+	}
+	if !ok || at < r.now-r.foot.num("purge settles")-100*purgeMargin {
+		return 0
+	}
+	limit := max(0.001, r.now-at-purgeMargin)
+	if d.typ.fresh > 0 {
+		limit = min(limit, d.typ.fresh)
+	}
+	return limit
+}
