--- a/router/router.go
+++ b/router/router.go
@@ -411,9 +411,6 @@
 	} else {
 		r.furthers.Add(r.now, 1)
 	}
-	if d.typ.repeat == "retriable" && len(d.pulls) < 2 {
-		a.Timeout *= 0.6
-	}
 	if !d.write {
 		if len(d.parents) > 0 && r.holders.holds(r, d.key, d.parents[0]) {
 			a.Rank = 1
