--- a/router/router.go
+++ b/router/router.go
@@ -277,7 +277,7 @@
 	d := &Download{id: e.ID, typ: t, key: object{e.Object, e.Part}, group: e.Group, expiry: e.Expiry,
 		landed: r.now, write: e.Write || t.write}
 	if flow := r.foot.num("flow"); flow > 0 && e.Size > 0 {
-		d.size = e.Size / flow
+		d.size = 1000 * e.Size / flow
 		t.count.Add(r.now, 1)
 		t.time.Add(r.now, d.size)
 	}
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -1,6 +1,9 @@
 package router
 
-import "testing"
+import (
+	"fmt"
+	"testing"
+)
 
 func foot() Footprint {
 	return Footprint{
@@ -8,7 +11,7 @@
 		"parent kind": 1.0, "origin kind": 2.0, "gateways": 1.0, "gateways by zone": []any{0.0, 1.0},
 		"types": []any{"video", "sale"}, "repeat": []any{"retriable", "non-retriable"},
 		"target": []any{600.0, 800.0}, "fresh": []any{0.0, 0.0}, "writes": []any{false, true},
-		"most pulls": 4.0, "weights": "nominal", "notes": "hit", "fall time": 1000.0, "fall multiple": 2.0,
+		"most pulls": 4.0, "flow": 10_000.0, "weights": "nominal", "notes": "hit", "fall time": 1000.0, "fall multiple": 2.0,
 		"cold share": 0.2, "cold time": 10000.0, "parent cold share": 0.1, "parent cold time": 10000.0,
 		"parent fall multiple": 2.0, "purge settles": 6000.0, "call off": true,
 	}
@@ -57,3 +60,27 @@
 		t.Errorf("after a fill through the parent: %+v, want the copy kept", again)
 	}
 }
+
+// A parent that has just started gets no more fills than this gateway's share of its cold budget.
+func TestColdParentKeepsItsBudget(t *testing.T) {
+	r := started(foot())
+	cold := fleet()
+	cold.Entries[2].Booted = 100_000
+	cold.Entries[3].Booted = 100_000
+	r.Handle(101_000, cold)
+	asked := 0
+	for i := range 200 {
+		a := video(fmt.Sprint(i))
+		a.Object = fmt.Sprint("o", i)
+		a.Expiry, a.Size = 110_000, 3000 // at 10 MB/s the 300 ms that are told
+		for _, p := range find[Pull](r.Handle(101_500+float64(i), a)) {
+			if p.Source == "p1" {
+				asked++
+			}
+		}
+	}
+	// Two times a tenth of 20 transfers, for a second, at 300 ms each.
+	if most := 13; asked == 0 || asked > most {
+		t.Errorf("%d fills asked of the cold parent, want 1 to %d", asked, most)
+	}
+}
