--- a/router/router.go
+++ b/router/router.go
@@ -248,6 +248,12 @@
 	last   bool    // nothing healthier is left
 }
 
+// home tells whether the object's hashed parent is on the pull's way.
+func (p *pull) home() bool {
+	home := p.dl.parents
+	return len(home) > 0 && (p.source == home[0] || p.at == home[0])
+}
+
 // Download is one request for an object, from its landing to its one final answer.
 type Download struct {
 	id        string
@@ -423,6 +429,7 @@
 		}
 		a.MaxAge = r.purges.limit(r, d)
 	}
+	r.post(note{to: &r.holders, topic: granted, pull: p})
 	p.out, p.sent = true, r.now
 	d.pulls, d.no, d.last = append(d.pulls, p), nil, false
 	p.at.out++
@@ -722,11 +729,12 @@
 }
 
 type entry struct {
-	key    object
-	group  int64
-	parent *Node
-	at     float64
-	heat   Ring
+	key     object
+	group   int64
+	parent  *Node
+	at      float64
+	heat    Ring
+	filling *pull
 }
 
 const (
@@ -763,16 +771,29 @@
 
 func (h *Holders) holds(r *Router, key object, parent *Node) bool {
 	e := h.entries[key]
-	return e != nil && e.parent == parent && r.now-e.at < holdersAge
+	if e == nil {
+		return false
+	}
+	return e.parent == parent && r.now-e.at < holdersAge || e.filling != nil && e.filling.out
 }
 
 func (h *Holders) take(r *Router, n note) {
+	if n.topic == granted {
+		// Where no answer tells a fill from a hit, and while a fill is on its way, a fill sent through the
+		// parent counts as held there: a slow fill would else be passed on unkept to all who ask meanwhile.
+		if d := n.pull.dl; n.pull.home() {
+			entry := h.get(r, d)
+			if r.foot.text("notes") == "none" {
+				entry.parent, entry.at = d.parents[0], r.now
+			}
+			entry.filling = n.pull
+		}
+		return
+	}
 	switch e := n.event.(type) {
 	case Ended:
 		d := n.pull.dl
-		home := len(d.parents) > 0 && (n.pull.source == d.parents[0] || n.pull.at == d.parents[0])
-		filled := e.Note != Held && e.Note != HeldOld
-		if home && filled {
+		if n.pull.home() && e.Note != Held && e.Note != HeldOld {
 			entry := h.get(r, d)
 			entry.parent, entry.at = d.parents[0], r.now
 		}
