--- a/router/router.go
+++ b/router/router.go
@@ -353,29 +353,12 @@
 		return
 	}
 	origins := r.tier(origin, "")
-	var at, source *Node
-	ok := func(n *Node) bool { return !slices.Contains(d.no, n) }
-	least := math.MaxInt
-	for _, n := range d.edges {
-		tried := 0
-		for _, p := range d.pulls {
-			if p.at == n {
-				tried++
-			}
-		}
-		if ok(n) && n.state == Running && d.free(r, n) && tried < least {
-			at, least = n, tried
-		}
-	}
 	sources := append(slices.Clone(d.parents), origins...)
 	if d.write {
 		sources = origins
 	}
-	for _, n := range sources {
-		if source == nil && ok(n) && n.state == Running {
-			source = n
-		}
-	}
+	at := d.pick(r, d.edges, func(p *pull) *Node { return p.at })
+	source := d.pick(r, sources, func(p *pull) *Node { return p.source })
 	if r.foot.flag("direct") && (d.write || at == nil) {
 		at = source
 		if len(origins) > 0 {
@@ -395,6 +378,25 @@
 	r.post(note{to: at, topic: offered, pull: p})
 }
 
+// pick is the first in hash order of those tried least: what a node or a source just failed goes elsewhere,
+// both at once, as most answers don't tell which of the two was at fault.
+func (d *Download) pick(r *Router, nodes []*Node, of func(*pull) *Node) *Node {
+	var best *Node
+	least := math.MaxInt
+	for _, n := range nodes {
+		tried := 0
+		for _, p := range d.pulls {
+			if of(p) == n {
+				tried++
+			}
+		}
+		if tried < least && n.state == Running && !slices.Contains(d.no, n) && d.free(r, n) {
+			best, least = n, tried
+		}
+	}
+	return best
+}
+
 // hold keeps a download that nobody may take now, as long as it could still be answered in time.
 func (d *Download) hold(r *Router) {
 	again := r.now + span/buckets/5
@@ -694,7 +696,8 @@
 func (n *Node) median(r *Router) float64 {
 	var shares []float64
 	for _, m := range r.all {
-		if good, bad := m.good.Sum(r.now), m.bad.Sum(r.now); m != n && m.role == n.role && good+bad > 0 {
+		if good, bad := m.good.Sum(r.now), m.bad.Sum(r.now); m != n && m.role == n.role && m.standing == trusted &&
+			m.state == Running && good+bad > 0 {
 			shares = append(shares, bad/(good+bad))
 		}
 	}
