--- a/router/router.go
+++ b/router/router.go
@@ -49,6 +49,7 @@
 	arrived topic = iota
 	offered
 	declined
+	crowded
 	granted
 	released
 	ended
@@ -292,7 +293,7 @@
 	d.edges = r.rank(r.tier(edge, r.foot.text("zone")), key)
 	d.parents = r.rank(r.tier(parent, ""), mix(key))
 	r.volume.Add(r.now, t.sending(r.now))
-	if !d.write && r.holders.heat(r, d) && len(d.edges) > 1 && d.edges[1].out < d.edges[0].out {
+	if !d.write && r.holders.heat(r, d) && len(d.edges) > 1 && d.edges[1].asked.out < d.edges[0].asked.out {
 		d.edges[0], d.edges[1] = d.edges[1], d.edges[0]
 	}
 	r.post(note{to: d, topic: arrived})
@@ -303,6 +304,8 @@
 	case declined:
 		d.no = append(d.no, n.from)
 		d.seek(r)
+	case crowded:
+		d.hold(r)
 	case granted:
 		d.send(r, n.pull)
 	case ended:
@@ -434,7 +437,6 @@
 	r.post(note{to: &r.holders, topic: granted, pull: p})
 	p.out, p.sent = true, r.now
 	d.pulls, d.no, d.last = append(d.pulls, p), nil, false
-	p.at.out++
 	r.do(a)
 }
 
@@ -445,7 +447,6 @@
 	default:
 		p.may = true
 	}
-	p.at.out--
 	r.post(note{to: p.at, topic: ended, pull: p, event: e})
 	if p.source != p.at {
 		r.post(note{to: p.source, topic: ended, pull: p, event: e})
@@ -525,7 +526,7 @@
 	weight         float64
 	cell           int64
 	booted         float64
-	out            int
+	asked, filling Lane // pulls out to it, and pulls whose misses it fills
 	good, bad      Ring
 	spent          Ring // sending time charged while cold
 	took           Ring // sending time fulfilled
@@ -536,7 +537,7 @@
 
 func newNode(id string) *Node {
 	return &Node{id: id, hash: hash(id), state: Gone, good: NewRing(span, buckets), bad: NewRing(span, buckets),
-		took: NewRing(span, buckets)}
+		took: NewRing(span, buckets), asked: newLane(), filling: newLane()}
 }
 
 func (n *Node) take(r *Router, m note) {
@@ -544,14 +545,21 @@
 	case listed:
 		n.list(r, m.event.(Entry))
 	case offered:
+		answer := granted
 		if !n.admits(r, m.pull) {
+			answer = declined
+		} else if lane := n.lane(m.pull); lane.most > 0 && float64(lane.out) >= lane.most && !m.pull.dl.write {
+			answer = crowded
+		}
+		if answer != granted {
 			if m.pull.source == n && m.pull.at != n {
 				r.post(note{to: m.pull.at, topic: released, pull: m.pull})
 			}
-			r.post(note{to: m.pull.dl, topic: declined, pull: m.pull, from: n})
+			r.post(note{to: m.pull.dl, topic: answer, pull: m.pull, from: n})
 			return
 		}
 		n.charge(r, m.pull.cost)
+		n.lane(m.pull).out++
 		if m.pull.at == n && m.pull.source != n {
 			r.post(note{to: m.pull.source, topic: offered, pull: m.pull})
 		} else {
@@ -559,6 +567,7 @@
 		}
 	case released:
 		n.charge(r, -m.pull.cost)
+		n.lane(m.pull).out--
 	case ended:
 		n.end(r, m.pull, m.event.(Ended))
 	case probed:
@@ -657,7 +666,52 @@
 	return true
 }
 
+// Lane bounds how many pulls this gateway has out at a node in one of its roles. Where answers come late or
+// not at all the bound falls below what was out, where they come in time it rises again: more out at once
+// would only make all of them late. It guards against any queue that grows, whatever fills it; it harms where
+// answers are late for reasons of their own, such as a run of very large objects.
+type Lane struct {
+	out       int
+	most      float64 // 0: no bound yet
+	cut       float64 // when the bound last fell
+	late, all Ring
+}
+
+func newLane() Lane { return Lane{late: NewRing(span/4, 4), all: NewRing(span/4, 4)} }
+
+func (l *Lane) end(now float64, late bool) {
+	l.out--
+	l.all.Add(now, 1)
+	if late {
+		l.late.Add(now, 1)
+	} else if l.most > 0 && float64(l.out) > 0.7*l.most {
+		l.most += 1 / l.most
+	}
+	if now < l.cut+span/8 {
+		return
+	}
+	if all := l.all.Sum(now); all >= 4 && l.late.Sum(now) > 0.3*all {
+		l.most, l.cut = max(2, 0.7*float64(l.out)), now
+	}
+}
+
+func (n *Node) lane(p *pull) *Lane {
+	if p.at == n {
+		return &n.asked
+	}
+	return &n.filling
+}
+
 func (n *Node) end(r *Router, p *pull, e Ended) {
+	if n == p.at || e.Note != Held {
+		size := p.dl.size
+		if size == 0 {
+			size = p.cost
+		}
+		n.lane(p).end(r.now, e.Status != CalledOff && (e.Status != Fulfilled || e.Took > p.dl.typ.target+p.dl.typ.stretch*size))
+	} else {
+		n.lane(p).out--
+	}
 	switch e.Status {
 	case Fulfilled:
 		if n == p.at || e.Note != Held {
