--- a/router/router.go
+++ b/router/router.go
@@ -677,7 +677,9 @@
 	late, all Ring
 }
 
-func newLane() Lane { return Lane{late: NewRing(span/4, 4), all: NewRing(span/4, 4)} }
+const laneLeast = 6 // pulls out that are no queue of this gateway's making
+
+func newLane() Lane { return Lane{late: NewRing(span/2, 4), all: NewRing(span/2, 4)} }
 
 func (l *Lane) end(now float64, late bool) {
 	l.out--
@@ -690,8 +692,8 @@
 	if now < l.cut+span/8 {
 		return
 	}
-	if all := l.all.Sum(now); all >= 4 && l.late.Sum(now) > 0.3*all {
-		l.most, l.cut = max(2, 0.7*float64(l.out)), now
+	if all := l.all.Sum(now); l.out >= laneLeast && all >= 10 && l.late.Sum(now) > 0.4*all {
+		l.most, l.cut = max(laneLeast, 0.8*float64(l.out)), now
 	}
 }
 
