--- /dev/null
+++ b/router/hash.go
@@ -0,0 +1,18 @@
+package router
+
+import "hash/fnv"
+
+func hash(words ...string) uint64 {
+	h := fnv.New64a()
+	for _, w := range words {
+		h.Write([]byte(w))
+		h.Write([]byte{0})
+	}
+	return mix(h.Sum64())
+}
+
+func mix(x uint64) uint64 {
+	x = (x ^ x>>33) * 0xff51afd7ed558ccd
+	x = (x ^ x>>33) * 0xc4ceb9fe1a85ec53
+	return x ^ x>>33
+}
--- a/router/router.go
+++ b/router/router.go
@@ -11,7 +11,6 @@
 import (
 	"cmp"
 	"fmt"
-	"hash/fnv"
 	"math"
 	"slices"
 )
@@ -41,34 +40,6 @@
 	volume   Ring // sending time asked for
 }
 
-type part interface{ take(r *Router, n note) }
-
-type topic int
-
-const (
-	arrived topic = iota
-	offered
-	declined
-	crowded
-	granted
-	released
-	ended
-	due
-	listed
-	probed
-	learned
-	voided
-)
-
-// note is what parts tell each other.
-type note struct {
-	to    part
-	topic topic
-	pull  *pull
-	from  *Node
-	event Event
-}
-
 // New makes a router that waits for its Started.
 func New() *Router {
 	return &Router{nodes: map[string]*Node{}, dls: map[string]*Download{}, types: map[string]*Type{},
@@ -191,21 +162,6 @@
 	return t.target / 2
 }
 
-func hash(words ...string) uint64 {
-	h := fnv.New64a()
-	for _, w := range words {
-		h.Write([]byte(w))
-		h.Write([]byte{0})
-	}
-	return mix(h.Sum64())
-}
-
-func mix(x uint64) uint64 {
-	x = (x ^ x>>33) * 0xff51afd7ed558ccd
-	x = (x ^ x>>33) * 0xc4ceb9fe1a85ec53
-	return x ^ x>>33
-}
-
 // rank orders nodes by rendezvous hash: whoever leaves moves only its own objects, and gateways agree.
 func (r *Router) rank(nodes []*Node, key uint64) []*Node {
 	sized := r.foot.text("weights") == "nominal" || r.foot.text("weights") == "rough"
@@ -232,23 +188,6 @@
 	return in
 }
 
-type object struct {
-	name string
-	part int64
-}
-
-// pull is one pull of a download: at is the node asked, source fills its misses.
-type pull struct {
-	dl     *Download
-	at     *Node
-	source *Node
-	out    bool
-	may    bool // it may have run
-	sent   float64
-	cost   float64 // sending time, of the mean of its type
-	last   bool    // nothing healthier is left
-}
-
 // home tells whether the object's hashed parent is on the pull's way.
 func (p *pull) home() bool {
 	home := p.dl.parents
@@ -500,22 +439,6 @@
 	}
 }
 
-type role int
-
-const (
-	edge role = iota
-	parent
-	origin
-)
-
-type standing int
-
-const (
-	trusted standing = iota
-	aside
-	returning
-)
-
 // Node is a cache, a parent or the origin. It alone accepts or declines what is offered to it, as a pull's
 // target or as the source of its fill, so every rule about nodes has its one gate here.
 type Node struct {
