--- a/router/router.go
+++ b/router/router.go
@@ -633,7 +633,11 @@
 		if size == 0 {
 			size = p.cost
 		}
-		n.lane(p).end(r.now, e.Status != CalledOff && (e.Status != Fulfilled || e.Took > p.dl.typ.target+p.dl.typ.stretch*size))
+		late := e.Status == TimedOut || e.Status == TurnedAway
+		if e.Status == Fulfilled {
+			late = e.Took > p.dl.typ.target+p.dl.typ.stretch*size
+		}
+		n.lane(p).end(r.now, late)
 	} else {
 		n.lane(p).out--
 	}
