--- a/router/router.go
+++ b/router/router.go
@@ -244,6 +244,13 @@
 		d.no = append(d.no, n.from)
 		d.seek(r)
 	case crowded:
+		// A crowded source sends its fill on in hash order; a crowded edge cache has the download wait, as
+		// its copy is worth more than another cache's miss.
+		if n.from == n.pull.source && n.from != n.pull.at {
+			d.no = append(d.no, n.from)
+			d.seek(r)
+			return
+		}
 		d.hold(r)
 	case granted:
 		d.send(r, n.pull)
