--- a/router/router.go
+++ b/router/router.go
@@ -244,13 +244,6 @@
 		d.no = append(d.no, n.from)
 		d.seek(r)
 	case crowded:
-		// A crowded source sends its fill on in hash order; a crowded edge cache has the download wait, as
-		// its copy is worth more than another cache's miss.
-		if n.from == n.pull.source && n.from != n.pull.at {
-			d.no = append(d.no, n.from)
-			d.seek(r)
-			return
-		}
 		d.hold(r)
 	case granted:
 		d.send(r, n.pull)
@@ -309,10 +302,7 @@
 	at := d.pick(r, d.edges, func(p *pull) *Node { return p.at })
 	source := d.pick(r, sources, func(p *pull) *Node { return p.source })
 	if r.foot.flag("direct") && (d.write || at == nil) {
-		at = source
-		if len(origins) > 0 {
-			source = origins[0]
-		}
+		at, source = source, d.pick(r, origins, func(p *pull) *Node { return p.source })
 	}
 	if at == nil || source == nil || !d.free(r, at) {
 		if !d.last {
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -84,3 +84,47 @@
 		t.Errorf("%d fills asked of the cold parent, want 1 to %d", asked, most)
 	}
 }
+
+// With nobody left to take it a download is held, then throttled; offers must not go round for ever.
+func TestNobodyLeftEndsInTime(t *testing.T) {
+	for _, direct := range []bool{false, true} {
+		f := foot()
+		f["direct"] = direct
+		r := started(f)
+		l := fleet()
+		for _, i := range []int{0, 1, 4} {
+			l.Entries[i].State = Draining
+		}
+		r.Handle(1, l)
+		end := answers(r, 10, video("a"))
+		if len(end) != 1 || end[0].at > 610 {
+			t.Errorf("direct %v: final answers %+v, want one within the target time", direct, end)
+		}
+	}
+}
+
+type answer struct {
+	at     float64
+	action Action
+}
+
+// answers hands an event over, then rings every alarm, and returns the final answers.
+func answers(r *Router, now float64, e Event) []answer {
+	var end []answer
+	var bells []Alarm
+	for {
+		actions := r.Handle(now, e)
+		bells = append(bells, find[Alarm](actions)...)
+		for _, a := range find[Throttle](actions) {
+			end = append(end, answer{now, a})
+		}
+		for _, a := range find[Abandon](actions) {
+			end = append(end, answer{now, a})
+		}
+		if len(bells) == 0 {
+			return end
+		}
+		now, e = max(now, bells[0].At), Rang{Token: bells[0].Token}
+		bells = bells[1:]
+	}
+}
