--- a/router/router.go
+++ b/router/router.go
@@ -360,7 +360,7 @@
 	}
 	if !d.write {
 		if len(d.parents) > 0 && r.holders.holds(r, d.key, d.parents[0]) {
-			a.Rank = 1
+			a.Rank = 2
 		}
 		if r.foot.flag("join") {
 			a.How |= Join
