--- a/router/router.go
+++ b/router/router.go
@@ -360,7 +360,7 @@
 	}
 	if !d.write {
 		if len(d.parents) > 0 && r.holders.holds(r, d.key, d.parents[0]) {
-			a.Rank = 2
+			a.Rank = 1
 		}
 		if r.foot.flag("join") {
 			a.How |= Join
@@ -722,7 +722,7 @@
 
 const (
 	holdersMost = 1 << 15  // entries; some minutes of a busy gateway's objects
-	holdersAge  = 60_000.0 // ms that stand in for the parent's characteristic time
+	holdersAge  = 20_000.0 // ms that stand in for the parent's characteristic time
 	heatSpan    = 10_000.0 // ms of an object's recent sending time
 )
 
