--- a/router/router.go
+++ b/router/router.go
@@ -365,7 +365,7 @@
 		if r.foot.flag("join") {
 			a.How |= Join
 		}
-		if d.typ.fresh > 0 {
+		if false && d.typ.fresh > 0 {
 			a.How |= Renew
 		}
 		a.MaxAge = r.purges.limit(r, d)
@@ -722,7 +722,7 @@
 
 const (
 	holdersMost = 1 << 15  // entries; some minutes of a busy gateway's objects
-	holdersAge  = 20_000.0 // ms that stand in for the parent's characteristic time
+	holdersAge  = 60_000.0 // ms that stand in for the parent's characteristic time
 	heatSpan    = 10_000.0 // ms of an object's recent sending time
 )
 
