--- a/router/router.go
+++ b/router/router.go
@@ -365,7 +365,7 @@
 		if r.foot.flag("join") {
 			a.How |= Join
 		}
-		if false && d.typ.fresh > 0 {
+		if d.typ.fresh > 0 {
 			a.How |= Renew
 		}
 		a.MaxAge = r.purges.limit(r, d)
