--- a/router/parts.go
+++ b/router/parts.go
@@ -12,6 +12,7 @@
 	granted
 	released
 	ended
+	overdue
 	due
 	listed
 	probed
@@ -40,6 +41,7 @@
 	source *Node
 	out    bool
 	may    bool // it may have run
+	late   bool // out past its target time
 	sent   float64
 	cost   float64 // sending time, of the mean of its type
 	last   bool    // nothing healthier is left
--- a/router/router.go
+++ b/router/router.go
@@ -249,6 +249,14 @@
 		d.send(r, n.pull)
 	case ended:
 		d.end(r, n.pull, n.event.(Ended))
+	case overdue:
+		if n.pull.out {
+			n.pull.late = true
+			r.post(note{to: n.pull.at, topic: overdue, pull: n.pull})
+			if n.pull.source != n.pull.at {
+				r.post(note{to: n.pull.source, topic: overdue, pull: n.pull})
+			}
+		}
 	default:
 		if !d.done && d.waiting() == 0 {
 			d.no, d.last = nil, false
@@ -372,6 +380,12 @@
 	}
 	r.post(note{to: &r.holders, topic: granted, pull: p})
 	p.out, p.sent = true, r.now
+	size := d.size
+	if size == 0 {
+		size = p.cost
+	}
+	// What hangs would else be seen only at the expiry, seconds after the peers have answered.
+	r.alarm(r.now+d.typ.target+d.typ.stretch*size, note{to: d, topic: overdue, pull: p})
 	d.pulls, d.no, d.last = append(d.pulls, p), nil, false
 	r.do(a)
 }
@@ -453,6 +467,7 @@
 	standing       standing
 	since          float64
 	probes         int
+	falls          int // times in a row that it was set aside; each asks for more probes
 }
 
 func newNode(id string) *Node {
@@ -490,6 +505,10 @@
 		n.lane(m.pull).out--
 	case ended:
 		n.end(r, m.pull, m.event.(Ended))
+	case overdue:
+		n.lane(m.pull).judge(r.now, true)
+		n.bad.Add(r.now, 1)
+		n.judge(r)
 	case probed:
 		n.probed(r, m.event.(Probed))
 	case due:
@@ -601,8 +620,7 @@
 
 func newLane() Lane { return Lane{late: NewRing(span/2, 4), all: NewRing(span/2, 4)} }
 
-func (l *Lane) end(now float64, late bool) {
-	l.out--
+func (l *Lane) judge(now float64, late bool) {
 	l.all.Add(now, 1)
 	if late {
 		l.late.Add(now, 1)
@@ -625,42 +643,42 @@
 }
 
 func (n *Node) end(r *Router, p *pull, e Ended) {
-	if n == p.at || e.Note != Held {
-		size := p.dl.size
-		if size == 0 {
-			size = p.cost
-		}
-		late := e.Status == TimedOut || e.Status == TurnedAway
-		if e.Status == Fulfilled {
-			late = e.Took > p.dl.typ.target+p.dl.typ.stretch*size
+	lane := n.lane(p)
+	lane.out--
+	if e.Status == Fulfilled {
+		n.took.Add(r.now, p.cost)
+		if n != p.at && e.Note == Held {
+			n.refund(r, p) // it was not asked, so this says nothing of it
+			return
 		}
-		n.lane(p).end(r.now, late)
-	} else {
-		n.lane(p).out--
 	}
-	switch e.Status {
-	case Fulfilled:
-		if n == p.at || e.Note != Held {
+	if !p.late {
+		lane.judge(r.now, e.Status == TurnedAway || e.Status == TimedOut)
+		switch e.Status {
+		case Fulfilled:
 			n.good.Add(r.now, 1)
+		case Failed, TimedOut, NotConnected, Broken:
+			n.bad.Add(r.now, 1)
+		case TurnedAway:
+			n.bad.Add(r.now, 0.5)
 		}
-		n.took.Add(r.now, p.cost)
-		if n != p.at && (e.Note == Held || e.Note == JoinedFill) {
-			n.refund(r, p)
-		}
-	case Failed, TimedOut, NotConnected, Broken:
-		n.bad.Add(r.now, 1)
-	case TurnedAway:
-		n.bad.Add(r.now, 0.5)
 	}
+	n.judge(r)
+}
+
+// judge sets aside what fails or hangs more than its peers do. Trouble that all share moves the median too and
+// sets nobody aside; where only two are left a bad one may drag the good one's bar down, and both stay.
+func (n *Node) judge(r *Router) {
 	if n.standing == returning && r.now-n.since > span {
-		n.standing = trusted
+		n.standing, n.falls = trusted, 0
 	}
 	if n.role == origin || n.standing == aside {
 		return
 	}
 	if good, bad := n.good.Sum(r.now), n.bad.Sum(r.now); good+bad >= 5 && bad/(good+bad) > 0.25+2*n.median(r) {
 		n.standing, n.since, n.probes = aside, r.now, 0
-		r.log(fmt.Sprintf("%s set aside: %.1f of %.1f pulls failed", n.id, bad, good+bad))
+		n.falls = min(n.falls+1, 4)
+		r.log(fmt.Sprintf("%s set aside: %.1f of %.1f pulls failed or hung", n.id, bad, good+bad))
 		r.alarm(r.now+span/buckets, note{to: n, topic: due})
 	}
 }
@@ -695,7 +713,7 @@
 	if n.probes++; e.Status != Fulfilled {
 		n.probes = 0
 	}
-	if n.probes >= 3 {
+	if n.probes >= 2<<n.falls {
 		n.standing, n.since = returning, r.now
 		n.good.Clear()
 		n.bad.Clear()
