--- a/router/router.go
+++ b/router/router.go
@@ -677,7 +677,7 @@
 	}
 	if good, bad := n.good.Sum(r.now), n.bad.Sum(r.now); good+bad >= 5 && bad/(good+bad) > 0.25+2*n.median(r) {
 		n.standing, n.since, n.probes = aside, r.now, 0
-		n.falls = min(n.falls+1, 4)
+		n.falls = min(n.falls+1, 1)
 		r.log(fmt.Sprintf("%s set aside: %.1f of %.1f pulls failed or hung", n.id, bad, good+bad))
 		r.alarm(r.now+span/buckets, note{to: n, topic: due})
 	}
