--- a/router/router.go
+++ b/router/router.go
@@ -506,7 +506,8 @@
 	case ended:
 		n.end(r, m.pull, m.event.(Ended))
 	case overdue:
-		n.lane(m.pull).judge(r.now, true)
+		n.bad.Add(r.now, 1)
+		n.judge(r)
 	case probed:
 		n.probed(r, m.event.(Probed))
 	case due:
