--- a/router/router.go
+++ b/router/router.go
@@ -252,7 +252,6 @@
 	case overdue:
 		if n.pull.out {
 			n.pull.late = true
-			r.post(note{to: n.pull.at, topic: overdue, pull: n.pull})
 			if n.pull.source != n.pull.at {
 				r.post(note{to: n.pull.source, topic: overdue, pull: n.pull})
 			}
@@ -506,6 +505,7 @@
 	case ended:
 		n.end(r, m.pull, m.event.(Ended))
 	case overdue:
+		// Only a source is judged by it: an edge cache that is slow still holds copies that no other has.
 		n.bad.Add(r.now, 1)
 		n.judge(r)
 	case probed:
@@ -651,8 +651,8 @@
 			return
 		}
 	}
-	if !p.late {
-		lane.judge(r.now, e.Status == TurnedAway || e.Status == TimedOut)
+	lane.judge(r.now, p.late || e.Status == TurnedAway)
+	if !p.late || n == p.at {
 		switch e.Status {
 		case Fulfilled:
 			n.good.Add(r.now, 1)
