--- a/router/router.go
+++ b/router/router.go
@@ -232,8 +232,16 @@
 	d.edges = r.rank(r.tier(edge, r.foot.text("zone")), key)
 	d.parents = r.rank(r.tier(parent, ""), mix(key))
 	r.volume.Add(r.now, t.sending(r.now))
-	if !d.write && r.holders.heat(r, d) && len(d.edges) > 1 && d.edges[1].asked.out < d.edges[0].asked.out {
-		d.edges[0], d.edges[1] = d.edges[1], d.edges[0]
+	if len(d.edges) > 1 {
+		first, second, out := d.edges[0].asked.out, d.edges[1].asked.out, 0
+		for _, n := range d.edges {
+			out += n.asked.out
+		}
+		// Hot objects may use two caches. So may all while the first has far more out than its share: a small
+		// or slow one that nothing lists as such else queues what its neighbour could answer in time.
+		if hot := !d.write && r.holders.heat(r, d); first > second && (hot || first*len(d.edges) > 2*out+6) {
+			d.edges[0], d.edges[1] = d.edges[1], d.edges[0]
+		}
 	}
 	r.post(note{to: d, topic: arrived})
 }
