--- a/router/parts.go
+++ b/router/parts.go
@@ -40,8 +40,9 @@
 	at     *Node
 	source *Node
 	out    bool
-	may    bool // it may have run
-	late   bool // out past its target time
+	may    bool    // it may have run
+	blame  float64 // the source's part in a failure
+	late   bool    // out past its target time
 	sent   float64
 	cost   float64 // sending time, of the mean of its type
 	last   bool    // nothing healthier is left
--- a/router/router.go
+++ b/router/router.go
@@ -399,6 +399,9 @@
 
 func (d *Download) end(r *Router, p *pull, e Ended) {
 	p.out = false
+	// Answers don't tell whose fault a failure is: it is shared by what else each of the two has failed.
+	at, source := p.at.share(r.now), p.source.share(r.now)
+	p.blame = source / (at + source)
 	switch e.Status {
 	case TurnedAway, NotConnected, NeverSent, Missed:
 	default:
@@ -664,10 +667,12 @@
 		switch e.Status {
 		case Fulfilled:
 			n.good.Add(r.now, 1)
-		case Failed, TimedOut, NotConnected, Broken:
-			n.bad.Add(r.now, 1)
-		case TurnedAway:
-			n.bad.Add(r.now, 0.5)
+		case Failed, TimedOut, NotConnected, Broken, TurnedAway:
+			blame := p.blame
+			if n == p.at {
+				blame = 1 - blame
+			}
+			n.bad.Add(r.now, blame)
 		}
 	}
 	n.judge(r)
@@ -697,6 +702,12 @@
 	}
 }
 
+// share is the part of its pulls that a node failed, from a little for one that nothing is known of.
+func (n *Node) share(now float64) float64 {
+	good, bad := n.good.Sum(now), n.bad.Sum(now)
+	return (bad + 0.1) / (good + bad + 1)
+}
+
 // median is the share of failures of the other nodes of this kind of work.
 func (n *Node) median(r *Router) float64 {
 	var shares []float64
@@ -707,7 +718,7 @@
 		}
 	}
 	if len(shares) == 0 {
-		return 0
+		return 0.25 // with nobody to compare it to, or to take its work, only the worst is set aside
 	}
 	slices.Sort(shares)
 	return shares[(len(shares)-1)/2]
