--- a/router/parts.go
+++ b/router/parts.go
@@ -1,5 +1,7 @@
 package router
 
+// The parts' state and the notes they pass; what they do with it stands in router.go.
+
 type part interface{ take(r *Router, n note) }
 
 type topic int
@@ -63,3 +65,114 @@
 	aside
 	returning
 )
+
+type Router struct {
+	foot     Footprint
+	now      float64
+	born     float64
+	chance   Chance
+	queue    []note
+	out      []Action
+	nodes    map[string]*Node
+	all      []*Node // by id, so that no map's order decides
+	dls      map[string]*Download
+	types    map[string]*Type
+	alarms   map[int64]note
+	token    int64
+	holders  Holders
+	purges   Purges
+	firsts   Ring // pulls that were a download's first
+	furthers Ring // and all others
+	volume   Ring // sending time asked for
+}
+
+// New makes a router that waits for its Started.
+func New() *Router {
+	return &Router{nodes: map[string]*Node{}, dls: map[string]*Download{}, types: map[string]*Type{},
+		alarms: map[int64]note{}, firsts: NewRing(span, buckets), furthers: NewRing(span, buckets),
+		volume: NewRing(span, buckets), holders: Holders{entries: map[object]*entry{}},
+		purges: Purges{objects: map[string]float64{}, groups: map[int64]float64{}}}
+}
+
+// Type is a content type: what may be done with it, and what it was seen to take.
+type Type struct {
+	name, repeat, scope  string
+	window, fresh, grace float64
+	target, stretch      float64
+	write                bool
+	count, time          Ring
+}
+
+// Download is one request for an object, from its landing to its one final answer.
+type Download struct {
+	id        string
+	typ       *Type
+	key       object
+	group     int64
+	expiry    float64
+	landed    float64
+	size      float64
+	write     bool
+	edges     []*Node // in hash order
+	parents   []*Node
+	pulls     []*pull
+	no        []*Node // who declined since the last pull
+	last      bool
+	done      bool
+	streaming bool
+}
+
+// Node is a cache, a parent or the origin. It alone accepts or declines what is offered to it, as a pull's
+// target or as the source of its fill, so every rule about nodes has its one gate here.
+type Node struct {
+	id, kind, zone string
+	hash           uint64
+	role           role
+	state          State
+	weight         float64
+	cell           int64
+	booted         float64
+	asked, filling Lane // pulls out to it, and pulls whose misses it fills
+	good, bad      Ring
+	spent          Ring // sending time charged while cold
+	took           Ring // sending time fulfilled
+	standing       standing
+	since          float64
+	probes         int
+	falls          int // times in a row that it was set aside; each asks for more probes
+}
+
+func newNode(id string) *Node {
+	return &Node{id: id, hash: hash(id), state: Gone, good: NewRing(span, buckets), bad: NewRing(span, buckets),
+		took: NewRing(span, buckets), asked: newLane(), filling: newLane()}
+}
+
+type Lane struct {
+	out       int
+	most      float64 // 0: no bound yet
+	cut       float64 // when the bound last fell
+	late, all Ring
+}
+
+func newLane() Lane { return Lane{late: NewRing(span/2, 4), all: NewRing(span/2, 4)} }
+
+// Holders is the table of Leave Copy Down: which objects the hashed parent holds, as far as this router saw.
+type Holders struct {
+	entries map[object]*entry
+	order   []*entry // oldest first, with dead ones among them
+}
+
+type entry struct {
+	key     object
+	group   int64
+	parent  *Node
+	at      float64
+	heat    Ring
+	filling *pull
+}
+
+// Purges remembers what may still be held in copies older than a purge.
+type Purges struct {
+	objects map[string]float64 // when the newest purge was
+	groups  map[int64]float64
+}
--- a/router/router.go
+++ b/router/router.go
@@ -20,34 +20,6 @@
 	buckets = 8      // of time in that span
 )
 
-type Router struct {
-	foot     Footprint
-	now      float64
-	born     float64
-	chance   Chance
-	queue    []note
-	out      []Action
-	nodes    map[string]*Node
-	all      []*Node // by id, so that no map's order decides
-	dls      map[string]*Download
-	types    map[string]*Type
-	alarms   map[int64]note
-	token    int64
-	holders  Holders
-	purges   Purges
-	firsts   Ring // pulls that were a download's first
-	furthers Ring // and all others
-	volume   Ring // sending time asked for
-}
-
-// New makes a router that waits for its Started.
-func New() *Router {
-	return &Router{nodes: map[string]*Node{}, dls: map[string]*Download{}, types: map[string]*Type{},
-		alarms: map[int64]note{}, firsts: NewRing(span, buckets), furthers: NewRing(span, buckets),
-		volume: NewRing(span, buckets), holders: Holders{entries: map[object]*entry{}},
-		purges: Purges{objects: map[string]float64{}, groups: map[int64]float64{}}}
-}
-
 // Handle is the door: ids become objects here, and the one loop empties all inboxes.
 func (r *Router) Handle(now float64, e Event) []Action {
 	r.now, r.out = now, r.out[:0]
@@ -145,15 +117,6 @@
 
 func (asker) take(r *Router, _ note) { r.do(Watch{}) }
 
-// Type is a content type: what may be done with it, and what it was seen to take.
-type Type struct {
-	name, repeat, scope  string
-	window, fresh, grace float64
-	target, stretch      float64
-	write                bool
-	count, time          Ring
-}
-
 // sending is the mean time to send one of this type, unloaded; half its target time until some were seen.
 func (t *Type) sending(now float64) float64 {
 	if n := t.count.Sum(now); n > 0 {
@@ -194,25 +157,6 @@
 	return len(home) > 0 && (p.source == home[0] || p.at == home[0])
 }
 
-// Download is one request for an object, from its landing to its one final answer.
-type Download struct {
-	id        string
-	typ       *Type
-	key       object
-	group     int64
-	expiry    float64
-	landed    float64
-	size      float64
-	write     bool
-	edges     []*Node // in hash order
-	parents   []*Node
-	pulls     []*pull
-	no        []*Node // who declined since the last pull
-	last      bool
-	done      bool
-	streaming bool
-}
-
 func (r *Router) arrive(e Arrived) {
 	t := r.types[e.Type]
 	if t == nil {
@@ -460,31 +404,6 @@
 	}
 }
 
-// Node is a cache, a parent or the origin. It alone accepts or declines what is offered to it, as a pull's
-// target or as the source of its fill, so every rule about nodes has its one gate here.
-type Node struct {
-	id, kind, zone string
-	hash           uint64
-	role           role
-	state          State
-	weight         float64
-	cell           int64
-	booted         float64
-	asked, filling Lane // pulls out to it, and pulls whose misses it fills
-	good, bad      Ring
-	spent          Ring // sending time charged while cold
-	took           Ring // sending time fulfilled
-	standing       standing
-	since          float64
-	probes         int
-	falls          int // times in a row that it was set aside; each asks for more probes
-}
-
-func newNode(id string) *Node {
-	return &Node{id: id, hash: hash(id), state: Gone, good: NewRing(span, buckets), bad: NewRing(span, buckets),
-		took: NewRing(span, buckets), asked: newLane(), filling: newLane()}
-}
-
 func (n *Node) take(r *Router, m note) {
 	switch m.topic {
 	case listed:
@@ -615,21 +534,12 @@
 	return true
 }
 
-// Lane bounds how many pulls this gateway has out at a node in one of its roles. Where answers come late or
+const laneLeast = 6 // pulls out that are no queue of this gateway's making
+
+// judge bounds how many pulls this gateway has out at a node in one of its roles. Where answers come late or
 // not at all the bound falls below what was out, where they come in time it rises again: more out at once
 // would only make all of them late. It guards against any queue that grows, whatever fills it; it harms where
 // answers are late for reasons of their own, such as a run of very large objects.
-type Lane struct {
-	out       int
-	most      float64 // 0: no bound yet
-	cut       float64 // when the bound last fell
-	late, all Ring
-}
-
-const laneLeast = 6 // pulls out that are no queue of this gateway's making
-
-func newLane() Lane { return Lane{late: NewRing(span/2, 4), all: NewRing(span/2, 4)} }
-
 func (l *Lane) judge(now float64, late bool) {
 	l.all.Add(now, 1)
 	if late {
@@ -741,21 +651,6 @@
 	r.alarm(r.now+span/buckets, note{to: n, topic: due})
 }
 
-// Holders is the table of Leave Copy Down: which objects the hashed parent holds, as far as this router saw.
-type Holders struct {
-	entries map[object]*entry
-	order   []*entry // oldest first, with dead ones among them
-}
-
-type entry struct {
-	key     object
-	group   int64
-	parent  *Node
-	at      float64
-	heat    Ring
-	filling *pull
-}
-
 const (
 	holdersMost = 1 << 15  // entries; some minutes of a busy gateway's objects
 	holdersAge  = 60_000.0 // ms that stand in for the parent's characteristic time
@@ -825,12 +720,6 @@
 	}
 }
 
-// Purges remembers what may still be held in copies older than a purge.
-type Purges struct {
-	objects map[string]float64 // when the newest purge was
-	groups  map[int64]float64
-}
-
 const purgeMargin = 2.0 // ms, against rounding on the way
 
 func (p *Purges) take(r *Router, n note) {
