--- /dev/null
+++ b/router/model_test.go
@@ -0,0 +1,244 @@
+package router
+
+import (
+	"fmt"
+	"math/rand"
+	"testing"
+	"testing/quick"
+)
+
+// model is the rules, plain and slow: it remembers all that was sent and looks through it again each time.
+type model struct {
+	foot   Footprint
+	now    float64
+	states map[string]State
+	booted map[string]float64
+	told   map[string]float64 // when this gateway heard of a node's start
+	zones  map[string]string
+	owed   map[string]*owing
+	pulls  []*sent
+	purged map[int64]float64
+	broken string
+}
+
+type owing struct {
+	Arrived
+	repeat string
+	done   bool
+	sent   []*sent
+}
+
+type sent struct {
+	Pull
+	at           float64
+	out, may     bool
+	held         bool // answered without its source
+	cost, expiry float64
+}
+
+func (m *model) fail(format string, args ...any) {
+	if m.broken == "" {
+		m.broken = fmt.Sprintf("at %.1f: ", m.now) + fmt.Sprintf(format, args...)
+	}
+}
+
+// act takes one action and says whether the rules allow it.
+func (m *model) act(a Action, alarms *[]Alarm) {
+	switch a := a.(type) {
+	case Alarm:
+		*alarms = append(*alarms, a)
+	case Throttle:
+		if o := m.owed[a.ID]; m.final(o, a.ID) && o.repeat != "retriable" {
+			for _, s := range o.sent {
+				if s.may || s.out {
+					m.fail("throttled %s, a pull of which may have run", a.ID)
+				}
+			}
+		}
+	case Abandon:
+		m.final(m.owed[a.ID], a.ID)
+	case Pull:
+		m.pull(a)
+	}
+}
+
+func (m *model) final(o *owing, id string) bool {
+	if o == nil || o.done || m.now > o.Expiry+20 {
+		m.fail("answered %s, which owes nothing or is overdue", id)
+		return false
+	}
+	o.done = true
+	return true
+}
+
+func (m *model) pull(a Pull) {
+	o := m.owed[a.ID]
+	if o == nil || o.done || m.now >= o.Expiry || a.Timeout > o.Expiry-m.now+0.001 {
+		m.fail("pulled %s, which has ended or goes on too long", a.ID)
+		return
+	}
+	for _, s := range o.sent {
+		if s.out || s.may && o.repeat == "non-retriable" {
+			m.fail("pulled %s again", a.ID)
+		}
+		if s.may && o.repeat == "deduped" && (m.zones[s.Node] != m.zones[a.Node] || m.now >= s.at+5000) {
+			m.fail("pulled %s again out of its group or window", a.ID)
+		}
+	}
+	s := &sent{Pull: a, at: m.now, out: true, expiry: m.now + a.Timeout, cost: 1000 * o.Size / m.foot.num("flow")}
+	o.sent = append(o.sent, s)
+	m.pulls = append(m.pulls, s)
+	if at, ok := m.purged[o.Group]; ok && !o.Write && m.now < at+6000 && (a.MaxAge <= 0 || a.MaxAge > m.now-at) {
+		m.fail("pull of %s takes copies of age %v, purged %v ago", a.ID, a.MaxAge, m.now-at)
+	}
+	for _, id := range []string{a.Node, a.Source} {
+		if m.states[id] != Running {
+			m.fail("pull of %s names %s, which drains or is gone", a.ID, id)
+		}
+		m.cold(id)
+	}
+}
+
+// cold adds up what a node that started lately was asked for in the last window.
+func (m *model) cold(id string) {
+	from, time, multiple, weight := 0.2, 10_000.0, 2.0, 10.0
+	if id[0] == 'p' {
+		from, weight = 0.1, 20
+	}
+	age := m.now - m.booted[id]
+	if m.booted[id] == 0 || age >= time || id == "o" { // the origin is no cache
+		return
+	}
+	asked := 0.0
+	for _, s := range m.pulls {
+		if s.at > m.now-1000 && s.at >= m.told[id] && (s.Node == id || s.Source == id && !s.held) {
+			asked += s.cost
+		}
+	}
+	if most := multiple * (from + (1-from)*age/time) * weight * 1000; asked > most {
+		m.fail("cold %s was asked for %.0f ms in a window, it bears %.0f", id, asked, most)
+	}
+}
+
+// TestRulesAgainstModel plays random days and has the model look at every action.
+func TestRulesAgainstModel(t *testing.T) {
+	day := func(seed int64) bool {
+		if broken := play(seed); broken != "" {
+			t.Logf("seed %d: %s", seed, broken)
+			return false
+		}
+		return true
+	}
+	if err := quick.Check(day, &quick.Config{MaxCount: 150, Rand: rand.New(rand.NewSource(3))}); err != nil {
+		t.Error(err)
+	}
+}
+
+func play(seed int64) string {
+	dice := rand.New(rand.NewSource(seed))
+	f := foot()
+	f["direct"], f["notes"] = dice.Intn(2) == 0, []string{"hit", "none"}[dice.Intn(2)]
+	f["types"], f["target"] = []any{"video", "sale", "order"}, []any{600.0, 800.0, 700.0}
+	f["repeat"] = []any{"retriable", "non-retriable", "deduped"}
+	f["dedupe group"], f["dedupe window"] = []any{"all", "all", "zone"}, []any{0.0, 0.0, 5000.0}
+	m := &model{foot: f, now: 50_000, states: map[string]State{}, booted: map[string]float64{},
+		told: map[string]float64{}, zones: map[string]string{}}
+	var r *Router
+	var alarms []Alarm
+	tell := func(e Event) {
+		for _, a := range r.Handle(m.now, e) {
+			m.act(a, &alarms)
+		}
+	}
+	list := fleet()
+	start := func() {
+		r, alarms, m.owed, m.purged = New(), nil, map[string]*owing{}, map[int64]float64{}
+		for _, s := range m.pulls {
+			s.out = false
+		}
+		tell(Started{Seed: uint64(seed), Footprint: f})
+		list.Scope = Restored
+		for _, e := range list.Entries {
+			m.states[e.Node], m.zones[e.Node] = e.State, e.Zone
+		}
+		tell(list)
+	}
+	start()
+	for step := 0; step < 1500 && m.broken == ""; step++ {
+		m.now += float64(dice.Intn(200)) / 10
+		for due := true; due; { // what is due comes before anything else
+			due = false
+			for i, a := range alarms {
+				if a.At <= m.now {
+					alarms, due = append(alarms[:i:i], alarms[i+1:]...), true
+					tell(Rang{Token: a.Token})
+					break
+				}
+			}
+		}
+		for _, s := range m.pulls {
+			if s.out && m.owed[s.ID] != nil && (m.now >= s.expiry || dice.Intn(25) == 0) {
+				end(m, s, tell, dice)
+			}
+		}
+		switch dice.Intn(40) {
+		case 0:
+			i := dice.Intn(len(list.Entries))
+			e := list.Entries[i]
+			if e.State = State(dice.Intn(3)); e.State == Running && dice.Intn(2) == 0 {
+				e.Booted = m.now - float64(dice.Intn(2000))
+				m.booted[e.Node], m.told[e.Node] = e.Booted, m.now
+			}
+			list.Entries[i], m.states[e.Node] = e, e.State
+			tell(Listed{Scope: Changes, Entries: []Entry{e}})
+		case 1:
+			group, age := int64(dice.Intn(3)), float64(dice.Intn(300))
+			m.purged[group] = max(m.purged[group], m.now-age)
+			tell(Purged{Group: group, Age: age})
+		case 2:
+			if dice.Intn(6) == 0 {
+				start()
+			}
+		default:
+			k := dice.Intn(3)
+			a := Arrived{ID: fmt.Sprint(step, "-", seed), Type: f.textAt("types", k), Object: fmt.Sprint(dice.Intn(60)),
+				Expiry: m.now + float64(dice.Intn(2500)), Size: 500 * float64(k+1), Write: k == 1}
+			a.Group = int64(len(a.Object)) // any that is the object's own
+			m.owed[a.ID] = &owing{Arrived: a, repeat: f.textAt("repeat", k)}
+			tell(a)
+		}
+		for _, o := range m.owed {
+			if !o.done && m.now > o.Expiry+25 {
+				m.fail("%s never got an answer", o.ID)
+			}
+		}
+	}
+	return m.broken
+}
+
+// end makes up how a pull ended.
+func end(m *model, s *sent, tell func(Event), dice *rand.Rand) {
+	o := m.owed[s.ID]
+	e := Ended{ID: s.ID, Status: Status(dice.Intn(9)), Took: m.now - s.at}
+	for i, p := range o.sent {
+		if p == s {
+			e.Pull = i
+		}
+	}
+	if dice.Intn(3) > 0 {
+		e.Status = Fulfilled
+	}
+	if m.now >= s.expiry {
+		e.Status = TimedOut
+	}
+	if e.Status == Fulfilled {
+		o.done = true
+		if m.foot.text("notes") == "hit" {
+			e.Note = Note(1 + dice.Intn(2))
+			s.held = e.Note == Held
+		}
+	}
+	s.out, e.Closed = false, o.done
+	s.may = e.Status != TurnedAway && e.Status != NotConnected && e.Status != NeverSent && e.Status != Missed
+	tell(e)
+}
--- a/router/router.go
+++ b/router/router.go
@@ -288,7 +288,7 @@
 				tried++
 			}
 		}
-		if tried < least && n.state == Running && !slices.Contains(d.no, n) && d.free(r, n) {
+		if tried < least && !slices.Contains(d.no, n) && d.free(r, n) {
 			best, least = n, tried
 		}
 	}
@@ -457,7 +457,10 @@
 		n.good.Clear()
 		n.bad.Clear()
 		n.standing = trusted
-		n.spent = NewRing(r.foot.num("fall time")*1.25, 10)
+	}
+	if n.spent.width == 0 || n.booted != e.Booted {
+		// Not when it only comes back to the list: the same process still bears what was asked of it.
+		n.spent = NewRing(max(1, r.foot.num("fall time"))*1.25, 10)
 	}
 	n.kind, n.zone, n.cell, n.weight, n.booted, n.state = e.Kind, e.Zone, e.Cell, e.Weight, e.Booted, e.State
 	n.role = edge
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -5,49 +5,6 @@
 	"testing"
 )
 
-func foot() Footprint {
-	return Footprint{
-		"zones": []any{"hub", "club"}, "zone": "club", "kinds": []any{"box", "parent", "origin"},
-		"parent kind": 1.0, "origin kind": 2.0, "gateways": 1.0, "gateways by zone": []any{0.0, 1.0},
-		"types": []any{"video", "sale"}, "repeat": []any{"retriable", "non-retriable"},
-		"target": []any{600.0, 800.0}, "fresh": []any{0.0, 0.0}, "writes": []any{false, true},
-		"most pulls": 4.0, "flow": 10_000.0, "weights": "nominal", "notes": "hit", "fall time": 1000.0, "fall multiple": 2.0,
-		"cold share": 0.2, "cold time": 10000.0, "parent cold share": 0.1, "parent cold time": 10000.0,
-		"parent fall multiple": 2.0, "purge settles": 6000.0, "call off": true,
-	}
-}
-
-func fleet() Listed {
-	return Listed{Scope: Restored, Entries: []Entry{
-		{Node: "e1", Kind: "box", Zone: "club", Weight: 10}, {Node: "e2", Kind: "box", Zone: "club", Weight: 10},
-		{Node: "p1", Kind: "parent", Zone: "hub", Weight: 20}, {Node: "p2", Kind: "parent", Zone: "hub", Weight: 20},
-		{Node: "o", Kind: "origin", Zone: "hub", Weight: 5},
-	}}
-}
-
-// started is a router at time 0 with the list above.
-func started(f Footprint) *Router {
-	r := New()
-	r.Handle(0, Started{Seed: 7, Footprint: f})
-	r.Handle(0, fleet())
-	return r
-}
-
-// find returns the actions of one type.
-func find[A any](actions []Action) []A {
-	var found []A
-	for _, a := range actions {
-		if a, ok := a.(A); ok {
-			found = append(found, a)
-		}
-	}
-	return found
-}
-
-func video(id string) Arrived {
-	return Arrived{ID: id, Type: "video", Object: "match", Expiry: 1e6, Part: 3, Group: 4}
-}
-
 // A copy is kept at the edge only once the hashed parent is known to hold the object.
 func TestLeavesCopyDown(t *testing.T) {
 	r := started(foot())
@@ -70,6 +27,10 @@
 	r.Handle(101_000, cold)
 	asked := 0
 	for i := range 200 {
+		if i == 100 { // off the list and back is no new process, and no new budget
+			r.Handle(101_600, Listed{Entries: []Entry{{Node: "p1", State: Gone}}})
+			r.Handle(101_600, cold)
+		}
 		a := video(fmt.Sprint(i))
 		a.Object = fmt.Sprint("o", i)
 		a.Expiry, a.Size = 110_000, 3000 // at 10 MB/s the 300 ms that are told
@@ -102,29 +63,3 @@
 		}
 	}
 }
-
-type answer struct {
-	at     float64
-	action Action
-}
-
-// answers hands an event over, then rings every alarm, and returns the final answers.
-func answers(r *Router, now float64, e Event) []answer {
-	var end []answer
-	var bells []Alarm
-	for {
-		actions := r.Handle(now, e)
-		bells = append(bells, find[Alarm](actions)...)
-		for _, a := range find[Throttle](actions) {
-			end = append(end, answer{now, a})
-		}
-		for _, a := range find[Abandon](actions) {
-			end = append(end, answer{now, a})
-		}
-		if len(bells) == 0 {
-			return end
-		}
-		now, e = max(now, bells[0].At), Rang{Token: bells[0].Token}
-		bells = bells[1:]
-	}
-}
