--- a/router/router.go
+++ b/router/router.go
@@ -183,7 +183,7 @@
 		}
 		// Hot objects may use two caches. So may all while the first has far more out than its share: a small
 		// or slow one that nothing lists as such else queues what its neighbour could answer in time.
-		if hot := !d.write && r.holders.heat(r, d); first > second && (hot || first*len(d.edges)*4 > 5*out+16) {
+		if hot := !d.write && r.holders.heat(r, d); first > second && (hot || first*len(d.edges)*2 > 3*out+16) {
 			d.edges[0], d.edges[1] = d.edges[1], d.edges[0]
 		}
 	}
