--- a/router/router.go
+++ b/router/router.go
@@ -125,17 +125,20 @@
 	return t.target / 2
 }
 
+// size is a node's by its weight, where that tells one; a load mixed in would move objects about.
+func (r *Router) size(n *Node) float64 {
+	if w := r.foot.text("weights"); (w == "nominal" || w == "rough") && n.weight > 0 {
+		return n.weight
+	}
+	return 1
+}
+
 // rank orders nodes by rendezvous hash: whoever leaves moves only its own objects, and gateways agree.
 func (r *Router) rank(nodes []*Node, key uint64) []*Node {
-	sized := r.foot.text("weights") == "nominal" || r.foot.text("weights") == "rough"
 	scores := make(map[*Node]float64, len(nodes))
 	for _, n := range nodes {
 		u := (float64(mix(n.hash^key)>>11) + 0.5) / (1 << 53)
-		w := 1.0
-		if sized && n.weight > 0 {
-			w = n.weight
-		}
-		scores[n] = -w / math.Log(u)
+		scores[n] = -r.size(n) / math.Log(u)
 	}
 	slices.SortStableFunc(nodes, func(a, b *Node) int { return cmp.Compare(scores[b], scores[a]) })
 	return nodes
@@ -177,14 +180,18 @@
 	d.parents = r.rank(r.tier(parent, ""), mix(key))
 	r.volume.Add(r.now, t.sending(r.now))
 	if len(d.edges) > 1 {
-		first, second, out := d.edges[0].asked.out, d.edges[1].asked.out, 0
+		first, second, out, size := d.edges[0], d.edges[1], 0, 0.0
 		for _, n := range d.edges {
 			out += n.asked.out
-		}
-		// Hot objects may use two caches. So may all while the first has far more out than its share: a small
-		// or slow one that nothing lists as such else queues what its neighbour could answer in time.
-		if hot := !d.write && r.holders.heat(r, d); first > second && (hot || first*len(d.edges)*2 > 3*out+16) {
-			d.edges[0], d.edges[1] = d.edges[1], d.edges[0]
+			size += r.size(n)
+		}
+		// Hot objects may use two caches. So may all while the first has more out than its share: a small or
+		// slow one, listed as such or not, else queues what its neighbour could answer in time. The one pull to
+		// spare keeps a quiet location's objects at home.
+		hot := !d.write && r.holders.heat(r, d)
+		fair := float64(out) * r.size(first) / size
+		if first.asked.out > second.asked.out && (hot || float64(first.asked.out) > 1.25*fair+1) {
+			d.edges[0], d.edges[1] = second, first
 		}
 	}
 	r.post(note{to: d, topic: arrived})
