--- a/router/router.go
+++ b/router/router.go
@@ -154,12 +154,6 @@
 	return in
 }
 
-// home tells whether the object's hashed parent is on the pull's way.
-func (p *pull) home() bool {
-	home := p.dl.parents
-	return len(home) > 0 && (p.source == home[0] || p.at == home[0])
-}
-
 func (r *Router) arrive(e Arrived) {
 	t := r.types[e.Type]
 	if t == nil {
@@ -325,7 +319,9 @@
 		r.furthers.Add(r.now, 1)
 	}
 	if !d.write {
-		if len(d.parents) > 0 && r.holders.holds(r, d.key, d.parents[0]) {
+		// Where no parent takes the fill, the origin is the tier above the edge, and what is left of the rule
+		// is that a copy comes down one tier: else edge caches run dry while the parents are away.
+		if r.holders.holds(r, p) || p.source.role == origin && p.at.role == edge {
 			a.Rank = 1
 		}
 		if r.foot.flag("join") {
@@ -693,22 +689,23 @@
 	return e.heat.Sum(r.now)/heatSpan > 0.25*r.volume.Sum(r.now)/span/float64(len(d.edges)+1)
 }
 
-func (h *Holders) holds(r *Router, key object, parent *Node) bool {
-	e := h.entries[key]
-	if e == nil {
-		return false
+// holds tells whether the parent that is to fill a miss holds the object, or the hashed one does.
+func (h *Holders) holds(r *Router, p *pull) bool {
+	e := h.entries[p.dl.key]
+	if e == nil || e.filling != nil && e.filling.out {
+		return e != nil
 	}
-	return e.parent == parent && r.now-e.at < holdersAge || e.filling != nil && e.filling.out
+	return e.parent != nil && (e.parent == p.source || len(p.dl.parents) > 0 && e.parent == p.dl.parents[0]) && r.now-e.at < holdersAge
 }
 
 func (h *Holders) take(r *Router, n note) {
 	if n.topic == granted {
 		// Where no answer tells a fill from a hit, and while a fill is on its way, a fill sent through the
 		// parent counts as held there: a slow fill would else be passed on unkept to all who ask meanwhile.
-		if d := n.pull.dl; n.pull.home() {
+		if d := n.pull.dl; n.pull.source.role == parent {
 			entry := h.get(r, d)
 			if r.foot.text("notes") == "none" {
-				entry.parent, entry.at = d.parents[0], r.now
+				entry.parent, entry.at = n.pull.source, r.now
 			}
 			entry.filling = n.pull
 		}
@@ -716,10 +713,9 @@
 	}
 	switch e := n.event.(type) {
 	case Ended:
-		d := n.pull.dl
-		if n.pull.home() && e.Note != Held && e.Note != HeldOld {
-			entry := h.get(r, d)
-			entry.parent, entry.at = d.parents[0], r.now
+		if p := n.pull; p.source.role == parent && e.Note != Held && e.Note != HeldOld {
+			entry := h.get(r, p.dl)
+			entry.parent, entry.at = p.source, r.now
 		}
 	case Purged:
 		for _, entry := range h.order {
