--- a/router/router.go
+++ b/router/router.go
@@ -197,6 +197,12 @@
 		d.no = append(d.no, n.from)
 		d.seek(r)
 	case crowded:
+		// The second cache in hash order may have room; a third would only add to what jams the location.
+		if n.from == n.pull.at && len(d.no) == 0 {
+			d.no = append(d.no, n.from)
+			d.seek(r)
+			return
+		}
 		d.hold(r)
 	case granted:
 		d.send(r, n.pull)
