--- a/router/router.go
+++ b/router/router.go
@@ -197,12 +197,6 @@
 		d.no = append(d.no, n.from)
 		d.seek(r)
 	case crowded:
-		// The second cache in hash order may have room; a third would only add to what jams the location.
-		if n.from == n.pull.at && len(d.no) == 0 {
-			d.no = append(d.no, n.from)
-			d.seek(r)
-			return
-		}
 		d.hold(r)
 	case granted:
 		d.send(r, n.pull)
@@ -557,7 +551,7 @@
 	if late {
 		l.late.Add(now, 1)
 	} else if l.most > 0 && float64(l.out) > 0.7*l.most {
-		l.most += 1 / l.most
+		l.most += 3 / l.most
 	}
 	if now < l.cut+span/8 {
 		return
