--- a/router/router.go
+++ b/router/router.go
@@ -551,12 +551,12 @@
 	if late {
 		l.late.Add(now, 1)
 	} else if l.most > 0 && float64(l.out) > 0.7*l.most {
-		l.most += 3 / l.most
+		l.most += 1 / l.most
 	}
 	if now < l.cut+span/8 {
 		return
 	}
-	if all := l.all.Sum(now); l.out >= laneLeast && all >= 10 && l.late.Sum(now) > 0.4*all {
+	if all := l.all.Sum(now); l.out >= laneLeast && all >= 10 && l.late.Sum(now) > 0.6*all {
 		l.most, l.cut = max(laneLeast, 0.8*float64(l.out)), now
 	}
 }
