--- a/router/router.go
+++ b/router/router.go
@@ -540,7 +540,7 @@
 	return true
 }
 
-const laneLeast = 4 // pulls out that are no queue of this gateway's making
+const laneLeast = 6 // pulls out that are no queue of this gateway's making
 
 // judge bounds how many pulls this gateway has out at a node in one of its roles. Where answers come late or
 // not at all the bound falls below what was out, where they come in time it rises again: more out at once
@@ -556,7 +556,7 @@
 	if now < l.cut+span/8 {
 		return
 	}
-	if all := l.all.Sum(now); l.out >= laneLeast && all >= 10 && l.late.Sum(now) > 0.4*all {
+	if all := l.all.Sum(now); l.out >= laneLeast && all >= 10 && l.late.Sum(now) > 0.15*all {
 		l.most, l.cut = max(laneLeast, 0.8*float64(l.out)), now
 	}
 }
