--- a/router/router.go
+++ b/router/router.go
@@ -556,8 +556,8 @@
 	if now < l.cut+span/8 {
 		return
 	}
-	if all := l.all.Sum(now); l.out >= laneLeast && all >= 10 && l.late.Sum(now) > 0.15*all {
-		l.most, l.cut = max(laneLeast, 0.8*float64(l.out)), now
+	if all := l.all.Sum(now); l.out >= laneLeast && all >= 10 && l.late.Sum(now) > 0.25*all {
+		l.most, l.cut = max(laneLeast, 0.65*float64(l.out)), now
 	}
 }
 
