--- a/router/router.go
+++ b/router/router.go
@@ -557,7 +557,7 @@
 		return
 	}
 	if all := l.all.Sum(now); l.out >= laneLeast && all >= 10 && l.late.Sum(now) > 0.25*all {
-		l.most, l.cut = max(laneLeast, 0.65*float64(l.out)), now
+		l.most, l.cut = max(laneLeast, 0.8*float64(l.out)), now
 	}
 }
 
