--- a/router/parts.go
+++ b/router/parts.go
@@ -118,6 +118,7 @@
 	pulls     []*pull
 	no        []*Node // who declined since the last pull
 	last      bool
+	looked    bool // for a copy without a fill
 	done      bool
 	streaming bool
 }
--- a/router/router.go
+++ b/router/router.go
@@ -197,6 +197,9 @@
 		d.no = append(d.no, n.from)
 		d.seek(r)
 	case crowded:
+		if n.from != n.pull.at && d.look(r, n.pull.at) {
+			return
+		}
 		d.hold(r)
 	case granted:
 		d.send(r, n.pull)
@@ -264,6 +267,9 @@
 	if r.foot.flag("direct") && (d.write || at == nil) {
 		at, source = source, d.pick(r, origins, func(p *pull) *Node { return p.source })
 	}
+	if source == nil && at != nil && d.look(r, at) {
+		return
+	}
 	if at == nil || source == nil || !d.free(r, at) {
 		if !d.last {
 			d.no, d.last = nil, true
@@ -277,6 +283,18 @@
 	r.post(note{to: at, topic: offered, pull: p})
 }
 
+// look asks an edge cache for what it holds and no fill, once, where no source has room: copies that are there
+// can be had whatever jams behind them, old ones too where the type allows any. A miss costs little and is
+// known not to have run. It does no harm but that of one more pull while edge caches themselves are short.
+func (d *Download) look(r *Router, at *Node) bool {
+	if d.looked || d.write || at.role != edge {
+		return false
+	}
+	d.looked = true
+	r.post(note{to: at, topic: offered, pull: &pull{dl: d, at: at, source: at, cost: d.typ.sending(r.now)}})
+	return true
+}
+
 // pick is the first in hash order of those tried least: what a node or a source just failed goes elsewhere,
 // both at once, as most answers don't tell which of the two was at fault.
 func (d *Download) pick(r *Router, nodes []*Node, of func(*pull) *Node) *Node {
@@ -285,7 +303,7 @@
 	for _, n := range nodes {
 		tried := 0
 		for _, p := range d.pulls {
-			if of(p) == n {
+			if of(p) == n && (p.source != p.at || n.role != edge) {
 				tried++
 			}
 		}
@@ -331,6 +349,9 @@
 			a.How |= Renew
 		}
 		a.MaxAge = r.purges.limit(r, d)
+		if p.source == p.at && a.MaxAge == 0 && d.typ.fresh > 0 {
+			a.MaxAge = d.typ.fresh + d.typ.grace
+		}
 	}
 	r.post(note{to: &r.holders, topic: granted, pull: p})
 	p.out, p.sent = true, r.now
