--- a/router/router.go
+++ b/router/router.go
@@ -599,7 +599,11 @@
 			return
 		}
 	}
-	lane.judge(r.now, p.late || e.Status == TurnedAway)
+	// What a fill's lateness tells is the source's matter, where answers tell fills apart: copies held at the
+	// edge go on being served.
+	if n != p.at || p.source == p.at || e.Note == Held || e.Note == NotTold && r.foot.text("notes") == "none" {
+		lane.judge(r.now, p.late || e.Status == TurnedAway)
+	}
 	if !p.late || n == p.at {
 		switch e.Status {
 		case Fulfilled:
