--- a/router/router.go
+++ b/router/router.go
@@ -601,7 +601,8 @@
 	}
 	// What a fill's lateness tells is the source's matter, where answers tell fills apart: copies held at the
 	// edge go on being served.
-	if n != p.at || p.source == p.at || e.Note == Held || e.Note == NotTold && r.foot.text("notes") == "none" {
+	untold := e.Note == NotTold && (e.Status == TurnedAway || r.foot.text("notes") == "none")
+	if n != p.at || p.source == p.at || e.Note == Held || untold {
 		lane.judge(r.now, p.late || e.Status == TurnedAway)
 	}
 	if !p.late || n == p.at {
