--- a/router/router.go
+++ b/router/router.go
@@ -283,9 +283,9 @@
 	r.post(note{to: at, topic: offered, pull: p})
 }
 
-// look asks an edge cache for what it holds and no fill, once, where no source has room: copies that are there
-// can be had whatever jams behind them, old ones too where the type allows any. A miss costs little and is
-// known not to have run. It does no harm but that of one more pull while edge caches themselves are short.
+// look asks an edge cache for what it holds and no fill, once, where no source has room: copies that are
+// there can be had whatever jams behind them, old ones too where the type allows any. A miss costs little and
+// is known not to have run. It harms by one more pull where the edge caches themselves are short.
 func (d *Download) look(r *Router, at *Node) bool {
 	if d.looked || d.write || at.role != edge {
 		return false
@@ -515,8 +515,8 @@
 	multiple, gateways := r.foot.num("fall multiple"), r.foot.num("gateways")
 	if n.role == parent {
 		multiple = r.foot.num("parent fall multiple")
-	} else if i := slices.Index(r.foot.list("zones"), any(n.zone)); i >= 0 && r.foot.numAt("gateways by zone", i) > 0 {
-		gateways = r.foot.numAt("gateways by zone", i)
+	} else if here := r.foot.numAt("gateways by zone", slices.Index(r.foot.list("zones"), any(n.zone))); here > 0 {
+		gateways = here
 	}
 	window := r.foot.num("fall time")
 	if w := r.foot.text("weights"); w == "nominal" || w == "rough" {
@@ -620,8 +620,8 @@
 	n.judge(r)
 }
 
-// judge sets aside what fails or hangs more than its peers do. Trouble that all share moves the median too and
-// sets nobody aside; where only two are left a bad one may drag the good one's bar down, and both stay.
+// judge sets aside what fails or hangs more than its peers do. Trouble that all share moves the median too
+// and sets nobody aside; where only two are left a bad one may lift the bar for the other, and both stay.
 func (n *Node) judge(r *Router) {
 	if n.standing == returning && r.now-n.since > span {
 		n.standing, n.falls = trusted, 0
@@ -721,7 +721,8 @@
 	if e == nil || e.filling != nil && e.filling.out {
 		return e != nil
 	}
-	return e.parent != nil && (e.parent == p.source || len(p.dl.parents) > 0 && e.parent == p.dl.parents[0]) && r.now-e.at < holdersAge
+	home := len(p.dl.parents) > 0 && e.parent == p.dl.parents[0]
+	return e.parent != nil && (e.parent == p.source || home) && r.now-e.at < holdersAge
 }
 
 func (h *Holders) take(r *Router, n note) {
