--- a/router/router.go
+++ b/router/router.go
@@ -744,12 +744,6 @@
 			entry := h.get(r, p.dl)
 			entry.parent, entry.at = p.source, r.now
 		}
-	case Purged:
-		for _, entry := range h.order {
-			if entry.group == e.Group && (e.Object == "" || entry.key.name == e.Object) {
-				entry.parent = nil
-			}
-		}
 	}
 }
 
