--- a/router/router.go
+++ b/router/router.go
@@ -520,7 +520,7 @@
 	}
 	window := r.foot.num("fall time")
 	if w := r.foot.text("weights"); w == "nominal" || w == "rough" {
-		return 0.8 * multiple * n.warmth(r) * n.weight * window / max(1, gateways)
+		return 0.6 * multiple * n.warmth(r) * n.weight * window / max(1, gateways)
 	}
 	least := 0.0
 	for _, m := range r.all {
@@ -530,7 +530,7 @@
 			}
 		}
 	}
-	return 0.8 * multiple * n.warmth(r) * least
+	return 0.6 * multiple * n.warmth(r) * least
 }
 
 func (n *Node) charge(r *Router, cost float64) {
