--- a/router/parts.go
+++ b/router/parts.go
@@ -119,6 +119,7 @@
 	no        []*Node // who declined since the last pull
 	last      bool
 	looked    bool // for a copy without a fill
+	bypassed  bool // the edge caches
 	done      bool
 	streaming bool
 }
--- a/router/router.go
+++ b/router/router.go
@@ -197,7 +197,7 @@
 		d.no = append(d.no, n.from)
 		d.seek(r)
 	case crowded:
-		if n.from != n.pull.at && d.look(r, n.pull.at) {
+		if n.from != n.pull.at && d.look(r, n.pull.at) || d.bypass(r) {
 			return
 		}
 		d.hold(r)
@@ -295,6 +295,23 @@
 	return true
 }
 
+// bypass asks the parent itself, once, where edge caches or their fills have no room: the copy passes the edge,
+// which may be all that is short, as after a release that left a location few and empty caches. The parent's own
+// lane bounds it, so where the link behind all of them is short it soon ends.
+func (d *Download) bypass(r *Router) bool {
+	if d.bypassed || d.write || !r.foot.flag("direct") {
+		return false
+	}
+	d.bypassed = true
+	at := d.pick(r, d.parents, func(p *pull) *Node { return p.at })
+	source := d.pick(r, r.tier(origin, ""), func(p *pull) *Node { return p.at })
+	if at == nil || source == nil {
+		return false
+	}
+	r.post(note{to: at, topic: offered, pull: &pull{dl: d, at: at, source: source, cost: d.typ.sending(r.now)}})
+	return true
+}
+
 // pick is the first in hash order of those tried least: what a node or a source just failed goes elsewhere,
 // both at once, as most answers don't tell which of the two was at fault.
 func (d *Download) pick(r *Router, nodes []*Node, of func(*pull) *Node) *Node {
