--- a/router/router.go
+++ b/router/router.go
@@ -197,7 +197,7 @@
 		d.no = append(d.no, n.from)
 		d.seek(r)
 	case crowded:
-		if n.from != n.pull.at && d.look(r, n.pull.at) || d.bypass(r) {
+		if n.from != n.pull.at && d.look(r, n.pull.at) || n.from == n.pull.at && d.bypass(r) {
 			return
 		}
 		d.hold(r)
