--- a/router/router.go
+++ b/router/router.go
@@ -213,21 +213,15 @@
 			}
 		}
 	default:
-		if !d.done && d.waiting() == 0 {
+		if !d.done && !d.waiting() {
 			d.no, d.last = nil, false
 			d.seek(r)
 		}
 	}
 }
 
-func (d *Download) waiting() int {
-	n := 0
-	for _, p := range d.pulls {
-		if p.out {
-			n++
-		}
-	}
-	return n
+func (d *Download) waiting() bool {
+	return slices.ContainsFunc(d.pulls, func(p *pull) bool { return p.out })
 }
 
 // free tells whether a pull may go to a node without an effect happening twice.
@@ -334,7 +328,7 @@
 // hold keeps a download that nobody may take now, as long as it could still be answered in time.
 func (d *Download) hold(r *Router) {
 	again := r.now + span/buckets/5
-	if again+d.typ.sending(r.now) > math.Min(d.landed+d.typ.target, d.expiry) {
+	if again+d.typ.sending(r.now) > min(d.landed+d.typ.target, d.expiry) {
 		d.giveUp(r)
 		return
 	}
@@ -405,13 +399,13 @@
 	}
 	if e.Closed {
 		d.finish(r)
-	} else if !d.done && d.waiting() == 0 && !d.streaming {
+	} else if !d.done && !d.waiting() && !d.streaming {
 		if r.furthers.Sum(r.now) > 5+0.3*r.firsts.Sum(r.now) {
 			d.giveUp(r)
 			return
 		}
 		d.seek(r)
-	} else if d.done && d.waiting() == 0 {
+	} else if d.done && !d.waiting() {
 		delete(r.dls, d.id)
 	}
 }
@@ -419,14 +413,9 @@
 // giveUp is the final answer where no pull will bring one. A throttling reply promises that trying again does
 // no harm, so it needs every pull known not to have run, or a type for which that does not matter.
 func (d *Download) giveUp(r *Router) {
-	safe := true
-	for _, p := range d.pulls {
-		if p.may && d.typ.repeat != "retriable" && !(d.typ.repeat == "deduped" && d.typ.scope == "all") {
-			safe = false
-		}
-	}
-	if safe {
-		r.do(Throttle{ID: d.id, Wait: math.Min(200, r.foot.num("longest advice"))})
+	harmless := d.typ.repeat == "retriable" || d.typ.repeat == "deduped" && d.typ.scope == "all"
+	if harmless || !slices.ContainsFunc(d.pulls, func(p *pull) bool { return p.may }) {
+		r.do(Throttle{ID: d.id, Wait: min(200, r.foot.num("longest advice"))})
 	} else {
 		r.do(Abandon{ID: d.id})
 	}
@@ -440,7 +429,7 @@
 			r.do(CallOff{ID: d.id, Pull: i})
 		}
 	}
-	if d.waiting() == 0 {
+	if !d.waiting() {
 		delete(r.dls, d.id)
 	}
 }
