--- a/router/router.go
+++ b/router/router.go
@@ -378,9 +378,11 @@
 
 func (d *Download) end(r *Router, p *pull, e Ended) {
 	p.out = false
-	// Answers don't tell whose fault a failure is: it is shared by what else each of the two has failed.
-	at, source := p.at.share(r.now), p.source.share(r.now)
-	p.blame = source / (at + source)
+	// Answers don't tell whose fault a failure is: it is shared by what else each of the two has failed. A
+	// connection that fails or breaks is the asked node's.
+	if at, source := p.at.share(r.now), p.source.share(r.now); e.Status != NotConnected && e.Status != Broken {
+		p.blame = source / (at + source)
+	}
 	switch e.Status {
 	case TurnedAway, NotConnected, NeverSent, Missed:
 	default:
@@ -627,7 +629,7 @@
 }
 
 // judge sets aside what fails or hangs more than its peers do. Trouble that all share moves the median too
-// and sets nobody aside; where only two are left a bad one may lift the bar for the other, and both stay.
+// and sets nobody aside, short of failing nearly all; where two are left a bad one lifts the bar of the other.
 func (n *Node) judge(r *Router) {
 	if n.standing == returning && r.now-n.since > span {
 		n.standing, n.falls = trusted, 0
@@ -635,7 +637,8 @@
 	if n.role == origin || n.standing == aside {
 		return
 	}
-	if good, bad := n.good.Sum(r.now), n.bad.Sum(r.now); good+bad >= 5 && bad/(good+bad) > 0.25+2*n.median(r) {
+	bar := min(0.75, 0.25+2*n.median(r)) // past that a node is of no use, however its peers fare
+	if good, bad := n.good.Sum(r.now), n.bad.Sum(r.now); good+bad >= 5 && bad/(good+bad) > bar {
 		n.standing, n.since, n.probes = aside, r.now, 0
 		n.falls = min(n.falls+1, 1)
 		r.log(fmt.Sprintf("%s set aside: %.1f of %.1f pulls failed or hung", n.id, bad, good+bad))
