--- a/router/router.go
+++ b/router/router.go
@@ -289,9 +289,9 @@
 	return true
 }
 
-// bypass asks the parent itself, once, where edge caches or their fills have no room: the copy passes the edge,
-// which may be all that is short, as after a release that left a location few and empty caches. The parent's own
-// lane bounds it, so where the link behind all of them is short it soon ends.
+// bypass asks the parent itself, once, where the edge cache has no room: the copy passes the edge, which may
+// be all that is short, as after a release that left a location few and empty caches. The parent's own lane
+// bounds it, so where the link behind all of them is short it soon ends.
 func (d *Download) bypass(r *Router) bool {
 	if d.bypassed || d.write || !r.foot.flag("direct") {
 		return false
@@ -629,7 +629,7 @@
 }
 
 // judge sets aside what fails or hangs more than its peers do. Trouble that all share moves the median too
-// and sets nobody aside, short of failing nearly all; where two are left a bad one lifts the bar of the other.
+// and sets nobody aside, short of failing nearly all; of two that are left a bad one lifts the other's bar.
 func (n *Node) judge(r *Router) {
 	if n.standing == returning && r.now-n.since > span {
 		n.standing, n.falls = trusted, 0
