--- a/router/router.go
+++ b/router/router.go
@@ -638,7 +638,7 @@
 		return
 	}
 	bar := min(0.75, 0.25+2*n.median(r)) // past that a node is of no use, however its peers fare
-	if good, bad := n.good.Sum(r.now), n.bad.Sum(r.now); good+bad >= 5 && bad/(good+bad) > bar {
+	if good, bad := n.good.Sum(r.now), n.bad.Sum(r.now); good+bad >= 10 && bad/(good+bad) > bar {
 		n.standing, n.since, n.probes = aside, r.now, 0
 		n.falls = min(n.falls+1, 1)
 		r.log(fmt.Sprintf("%s set aside: %.1f of %.1f pulls failed or hung", n.id, bad, good+bad))
