--- a/router/router.go
+++ b/router/router.go
@@ -468,7 +468,7 @@
 		n.end(r, m.pull, m.event.(Ended))
 	case overdue:
 		// Only a source is judged by it: an edge cache that is slow still holds copies that no other has.
-		n.bad.Add(r.now, 0.5)
+		n.bad.Add(r.now, 1)
 		n.judge(r)
 	case probed:
 		n.probed(r, m.event.(Probed))
@@ -582,7 +582,7 @@
 	} else if l.most > 0 && float64(l.out) > 0.7*l.most {
 		l.most += 1 / l.most
 	}
-	if now < l.cut+span/8 {
+	if now < l.cut+span/4 {
 		return
 	}
 	if all := l.all.Sum(now); l.out >= laneLeast && all >= 10 && l.late.Sum(now) > 0.25*all {
