--- a/router/router.go
+++ b/router/router.go
@@ -328,7 +328,7 @@
 // hold keeps a download that nobody may take now, as long as it could still be answered in time.
 func (d *Download) hold(r *Router) {
 	again := r.now + span/buckets/5
-	if again+d.typ.sending(r.now) > min(d.landed+d.typ.target, d.expiry) {
+	if again+d.typ.sending(r.now) > min(d.landed+d.typ.target/2, d.expiry) {
 		d.giveUp(r)
 		return
 	}
@@ -582,7 +582,7 @@
 	} else if l.most > 0 && float64(l.out) > 0.7*l.most {
 		l.most += 1 / l.most
 	}
-	if now < l.cut+span/4 {
+	if now < l.cut+span/8 {
 		return
 	}
 	if all := l.all.Sum(now); l.out >= laneLeast && all >= 10 && l.late.Sum(now) > 0.25*all {
