--- a/router/router.go
+++ b/router/router.go
@@ -328,7 +328,7 @@
 // hold keeps a download that nobody may take now, as long as it could still be answered in time.
 func (d *Download) hold(r *Router) {
 	again := r.now + span/buckets/5
-	if again+d.typ.sending(r.now) > min(d.landed+d.typ.target/2, d.expiry) {
+	if again+d.typ.sending(r.now) > min(d.landed+d.typ.target, d.expiry) {
 		d.giveUp(r)
 		return
 	}
@@ -467,8 +467,9 @@
 	case ended:
 		n.end(r, m.pull, m.event.(Ended))
 	case overdue:
-		// Only a source is judged by it: an edge cache that is slow still holds copies that no other has.
-		n.bad.Add(r.now, 1)
+		// Only a source is judged by it: an edge cache that is slow still holds copies that no other has. It
+		// counts half a failure, as large objects are overdue too.
+		n.bad.Add(r.now, 0.5)
 		n.judge(r)
 	case probed:
 		n.probed(r, m.event.(Probed))
