--- a/router/router.go
+++ b/router/router.go
@@ -184,7 +184,7 @@
 		// spare keeps a quiet location's objects at home.
 		hot := !d.write && r.holders.heat(r, d)
 		fair := float64(out) * r.size(first) / size
-		if first.asked.out > second.asked.out && (hot || float64(first.asked.out) > 1.1*fair+1) {
+		if first.asked.out > second.asked.out && (hot || float64(first.asked.out) > 1.25*fair+1) {
 			d.edges[0], d.edges[1] = second, first
 		}
 	}
