--- a/router/router.go
+++ b/router/router.go
@@ -581,8 +581,7 @@
 	if late {
 		l.late.Add(now, 1)
 	} else if l.most > 0 && float64(l.out) > 0.7*l.most {
-		// Slowly while some are late, quickly once none is: the jam is over then.
-		l.most += max(1, 4-40*l.late.Sum(now)/l.all.Sum(now)) / l.most
+		l.most += 0.5 / l.most
 	}
 	if now < l.cut+span/8 {
 		return
