--- a/router/router.go
+++ b/router/router.go
@@ -581,7 +581,7 @@
 	if late {
 		l.late.Add(now, 1)
 	} else if l.most > 0 && float64(l.out) > 0.7*l.most {
-		l.most += 0.5 / l.most
+		l.most += 1 / l.most
 	}
 	if now < l.cut+span/8 {
 		return
