--- a/router/router.go
+++ b/router/router.go
@@ -608,12 +608,11 @@
 			return
 		}
 	}
-	// A late fill is its source's matter, where answers tell fills apart: copies held at the edge go on being
-	// served. One in time shows that the edge has room.
-	late := p.late || e.Status == TurnedAway
-	filled := e.Note != NotTold && e.Note != Held || e.Status == TimedOut && r.foot.text("notes") != "none"
-	if n != p.at || p.source == p.at || !filled || !late {
-		lane.judge(r.now, late)
+	// What a fill's lateness tells is the source's matter, where answers tell fills apart: copies held at the
+	// edge go on being served.
+	untold := e.Note == NotTold && (e.Status == TurnedAway || r.foot.text("notes") == "none")
+	if n != p.at || p.source == p.at || e.Note == Held || untold {
+		lane.judge(r.now, p.late || e.Status == TurnedAway)
 	}
 	if !p.late || n == p.at {
 		switch e.Status {
