--- a/router/router.go
+++ b/router/router.go
@@ -197,6 +197,12 @@
 		d.no = append(d.no, n.from)
 		d.seek(r)
 	case crowded:
+		// A stand-in need not carry all that a lost parent left: what it has no room for goes on to the origin.
+		if n.from != n.pull.at && n.from.role == parent && n.from != d.parents[0] {
+			d.no = append(d.no, n.from)
+			d.seek(r)
+			return
+		}
 		if n.from != n.pull.at && d.look(r, n.pull.at) || n.from == n.pull.at && d.bypass(r) {
 			return
 		}
