--- a/router/parts.go
+++ b/router/parts.go
@@ -99,6 +99,7 @@
 	name, repeat, scope  string
 	window, fresh, grace float64
 	target, stretch      float64
+	quiet                float64 // time to send one at the quietest seen of late
 	write                bool
 	count, time          Ring
 }
--- a/router/router.go
+++ b/router/router.go
@@ -374,7 +374,7 @@
 	p.out, p.sent = true, r.now
 	size := d.size
 	if size == 0 {
-		size = p.cost
+		size = d.typ.quiet
 	}
 	// What hangs would else be seen only at the expiry, seconds after the peers have answered.
 	r.alarm(r.now+d.typ.target+d.typ.stretch*size, note{to: d, topic: overdue, pull: p})
@@ -403,6 +403,12 @@
 		if d.size == 0 && (e.Note == Held || e.Note == NotTold) {
 			d.typ.count.Add(r.now, 1)
 			d.typ.time.Add(r.now, e.Took)
+			// What is late is told from the quietest times: a jam must not raise its own bar.
+			if mean := d.typ.sending(r.now); mean < d.typ.quiet || d.typ.quiet == 0 {
+				d.typ.quiet = mean
+			} else {
+				d.typ.quiet += (mean - d.typ.quiet) / 1000
+			}
 		}
 	}
 	if e.Closed {
