--- a/router/parts.go
+++ b/router/parts.go
@@ -100,6 +100,7 @@
 	window, fresh, grace float64
 	target, stretch      float64
 	quiet                float64 // time to send one at the quietest seen of late
+	seen                 int
 	write                bool
 	count, time          Ring
 }
--- a/router/router.go
+++ b/router/router.go
@@ -403,10 +403,10 @@
 		if d.size == 0 && (e.Note == Held || e.Note == NotTold) {
 			d.typ.count.Add(r.now, 1)
 			d.typ.time.Add(r.now, e.Took)
-			// What is late is told from the quietest times: a jam must not raise its own bar. A mean of few is
-			// no such time, but chance.
+			// What is late is told from the quietest times: a jam must not raise its own bar. The mean of a few
+			// is no such time, but chance.
 			mean := d.typ.sending(r.now)
-			if d.typ.quiet == 0 || mean < d.typ.quiet && d.typ.count.Sum(r.now) >= 100 {
+			if d.typ.seen++; d.typ.seen < 50 || mean < d.typ.quiet {
 				d.typ.quiet = mean
 			}
 			d.typ.quiet += (mean - d.typ.quiet) / 1000
