--- a/router/router.go
+++ b/router/router.go
@@ -11,6 +11,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 )
@@ -374,7 +375,7 @@
 	p.out, p.sent = true, r.now
 	size := d.size
 	if size == 0 {
-		size = d.typ.quiet / 2 // most are smaller than the mean of sizes that differ much
+		size = 0.75 * d.typ.quiet // most are smaller than the mean of sizes that differ much
 	}
 	// What hangs would else be seen only at the expiry, seconds after the peers have answered.
 	r.alarm(r.now+d.typ.target+d.typ.stretch*size, note{to: d, topic: overdue, pull: p})
@@ -619,7 +620,10 @@
 	if e.Status == Fulfilled {
 		n.took.Add(r.now, p.cost)
 		if n != p.at && e.Note == Held {
-			n.refund(r, p) // it was not asked, so this says nothing of it
+			// It was not asked after all: its charge goes back, and this says nothing of its health.
+			if n.warmth(r) < 1 {
+				n.spent.Add(p.sent, -p.cost)
+			}
 			return
 		}
 	}
@@ -662,13 +666,6 @@
 	}
 }
 
-// refund gives back what a source was charged for a fill that was not needed.
-func (n *Node) refund(r *Router, p *pull) {
-	if n.warmth(r) < 1 {
-		n.spent.Add(p.sent, -p.cost)
-	}
-}
-
 // share is the part of its pulls that a node failed, from a little for one that nothing is known of.
 func (n *Node) share(now float64) float64 {
 	good, bad := n.good.Sum(now), n.bad.Sum(now)
@@ -789,16 +786,8 @@
 		p.objects[e.Object] = max(at, p.objects[e.Object])
 	}
 	settled := r.now - r.foot.num("purge settles") - 100*purgeMargin
-	for k, at := range p.objects {
-		if at < settled {
-			delete(p.objects, k)
-		}
-	}
-	for k, at := range p.groups {
-		if at < settled {
-			delete(p.groups, k)
-		}
-	}
+	maps.DeleteFunc(p.objects, func(_ string, at float64) bool { return at < settled })
+	maps.DeleteFunc(p.groups, func(_ int64, at float64) bool { return at < settled })
 }
 
 // limit is the oldest copy that a pull may be answered from; 0, which leaves it to the type, only where no
