--- a/router/router.go
+++ b/router/router.go
@@ -431,7 +431,8 @@
 func (d *Download) giveUp(r *Router) {
 	harmless := d.typ.repeat == "retriable" || d.typ.repeat == "deduped" && d.typ.scope == "all"
 	if harmless || !slices.ContainsFunc(d.pulls, func(p *pull) bool { return p.may }) {
-		r.do(Throttle{ID: d.id, Wait: min(200, r.foot.num("longest advice"))})
+		// What comes back within a tenth of its target time may still be answered in it; later it cannot.
+		r.do(Throttle{ID: d.id, Wait: min(d.typ.target/10, r.foot.num("longest advice"))})
 	} else {
 		r.do(Abandon{ID: d.id})
 	}
