--- a/router/parts.go
+++ b/router/parts.go
@@ -143,7 +143,6 @@
 	standing       standing
 	since          float64
 	probes         int
-	falls          int // times in a row that it was set aside; each asks for more probes
 }
 
 func newNode(id string) *Node {
--- a/router/router.go
+++ b/router/router.go
@@ -653,7 +653,7 @@
 // and sets nobody aside, short of failing nearly all; of two that are left a bad one lifts the other's bar.
 func (n *Node) judge(r *Router) {
 	if n.standing == returning && r.now-n.since > span {
-		n.standing, n.falls = trusted, 0
+		n.standing = trusted
 	}
 	if n.role == origin || n.standing == aside {
 		return
@@ -661,7 +661,6 @@
 	bar := min(0.75, 0.25+2*n.median(r)) // past that a node is of no use, however its peers fare
 	if good, bad := n.good.Sum(r.now), n.bad.Sum(r.now); good+bad >= 5 && bad/(good+bad) > bar {
 		n.standing, n.since, n.probes = aside, r.now, 0
-		n.falls = min(n.falls+1, 1)
 		r.log(fmt.Sprintf("%s set aside: %.1f of %.1f pulls failed or hung", n.id, bad, good+bad))
 		r.alarm(r.now+span/buckets, note{to: n, topic: due})
 	}
@@ -696,7 +695,7 @@
 	if n.probes++; e.Status != Fulfilled {
 		n.probes = 0
 	}
-	if n.probes >= 2<<n.falls {
+	if n.probes >= 4 { // two seconds of them: a process that runs may still be starting
 		n.standing, n.since = returning, r.now
 		n.good.Clear()
 		n.bad.Clear()
