--- a/router/router.go
+++ b/router/router.go
@@ -541,8 +541,8 @@
 	multiple, gateways := r.foot.num("fall multiple"), r.foot.num("gateways")
 	if n.role == parent {
 		multiple = r.foot.num("parent fall multiple")
-	} else if here := r.foot.numAt("gateways by zone", slices.Index(r.foot.list("zones"), any(n.zone))); here > 0 {
-		gateways = here
+	} else if i := slices.Index(r.foot.list("zones"), any(n.zone)); r.foot.numAt("gateways by zone", i) > 0 {
+		gateways = r.foot.numAt("gateways by zone", i)
 	}
 	window := r.foot.num("fall time")
 	if w := r.foot.text("weights"); w == "nominal" || w == "rough" {
