--- a/router/parts.go
+++ b/router/parts.go
@@ -157,8 +157,6 @@
 	late, all Ring
 }
 
-func newLane() Lane { return Lane{late: NewRing(span/2, 4), all: NewRing(span/2, 4)} }
-
 // Holders is the table of Leave Copy Down: which objects the hashed parent holds, as far as this router saw.
 type Holders struct {
 	entries map[object]*entry
--- a/router/router.go
+++ b/router/router.go
@@ -589,6 +589,8 @@
 
 const laneLeast = 6 // pulls out that are no queue of this gateway's making
 
+func newLane() Lane { return Lane{late: NewRing(span/2, 4), all: NewRing(span/2, 4)} }
+
 // judge bounds how many pulls this gateway has out at a node in one of its roles. Where answers come late or
 // not at all the bound falls below what was out, where they come in time it rises again: more out at once
 // would only make all of them late. It guards against any queue that grows, whatever fills it; it harms where
