Ask the parent what it holds where gateways share a location; lanes bounded by shares

Cause: at size a location has a dozen gateways or more. Each had to send its own unkept fill of every object before copies built up at the edge (edge hits fell from 70% to 20%), and six pulls out at each cache and parent for each of them are no bound: links and caches stayed jammed long after the trouble.

Where a location has more than two gateways and the table does not know the object, the parent is asked only for what it holds, and that is kept; on a miss it fills with the edge passed, as before. Guards against any split of the table over many gateways. A lane's bound is a fraction of a pull where traffic is small, met by chance; late answers are weighed by share from the first one on; its floor of six is shared by the location's gateways.

--- a/router/parts.go
+++ b/router/parts.go
@@ -47,6 +47,7 @@
 	late   bool    // out past its target time
 	sent   float64
 	cost   float64 // sending time, of the mean of its type
+	ask    bool    // only for what the parent holds
 	last   bool    // nothing healthier is left
 }
 
@@ -120,6 +121,7 @@
 	pulls     []*pull
 	no        []*Node // who declined since the last pull
 	last      bool
+	asked     bool
 	looked    bool // for a copy without a fill
 	bypassed  bool // the edge caches
 	done      bool
@@ -147,13 +149,13 @@
 
 func newNode(id string) *Node {
 	return &Node{id: id, hash: hash(id), state: Gone, good: NewRing(span, buckets), bad: NewRing(span, buckets),
-		took: NewRing(span, buckets), asked: newLane(), filling: newLane()}
+		took:  NewRing(span, buckets),
+		asked: newLane(), filling: newLane()}
 }
 
 type Lane struct {
 	out       int
-	most      float64 // 0: no bound yet
-	cut       float64 // when the bound last fell
+	most, cut float64
 	late, all Ring
 }
 
--- a/router/router.go
+++ b/router/router.go
@@ -180,9 +180,8 @@
 			out += n.asked.out
 			size += r.size(n)
 		}
-		// Hot objects may use two caches. So may all while the first has more out than its share: a small or
-		// slow one, listed as such or not, else queues what its neighbour could answer in time. The one pull to
-		// spare keeps a quiet location's objects at home.
+		// Hot objects may use two caches. So may all while the first has more out than its share: a small or slow
+		// one else queues what its neighbour could answer. The one pull to spare keeps quiet objects at home.
 		hot := !d.write && r.holders.heat(r, d)
 		fair := float64(out) * r.size(first) / size
 		if first.asked.out > second.asked.out && (hot || float64(first.asked.out) > 1.25*fair+1) {
@@ -198,26 +197,21 @@
 		d.no = append(d.no, n.from)
 		d.seek(r)
 	case crowded:
+		filling := n.from != n.pull.at
 		// A stand-in need not carry all that a lost parent left: what it has no room for goes on to the origin.
-		if n.from != n.pull.at && n.from.role == parent && n.from != d.parents[0] {
+		if filling && n.from.role == parent && n.from != d.parents[0] {
 			d.no = append(d.no, n.from)
 			d.seek(r)
-			return
-		}
-		if n.from != n.pull.at && d.look(r, n.pull.at) || n.from == n.pull.at && d.bypass(r) {
-			return
+		} else if !(filling && d.look(r, n.pull.at) || !filling && d.bypass(r)) {
+			d.hold(r)
 		}
-		d.hold(r)
 	case granted:
 		d.send(r, n.pull)
 	case ended:
 		d.end(r, n.pull, n.event.(Ended))
 	case overdue:
-		if n.pull.out {
-			n.pull.late = true
-			if n.pull.source != n.pull.at {
-				r.post(note{to: n.pull.source, topic: overdue, pull: n.pull})
-			}
+		if n.pull.late = n.pull.out; n.pull.late && n.pull.source != n.pull.at {
+			r.post(note{to: n.pull.source, topic: overdue, pull: n.pull})
 		}
 	default:
 		if !d.done && !d.waiting() {
@@ -271,17 +265,15 @@
 	if source == nil && at != nil && d.look(r, at) {
 		return
 	}
-	if at == nil || source == nil || !d.free(r, at) {
-		if !d.last {
-			d.no, d.last = nil, true
-			d.seek(r)
-			return
-		}
+	if at != nil && source != nil && d.free(r, at) {
+		p := &pull{dl: d, at: at, source: source, cost: d.typ.sending(r.now), last: d.last}
+		r.post(note{to: at, topic: offered, pull: p})
+	} else if !d.last {
+		d.no, d.last = nil, true
+		d.seek(r)
+	} else {
 		d.hold(r)
-		return
 	}
-	p := &pull{dl: d, at: at, source: source, cost: d.typ.sending(r.now), last: d.last}
-	r.post(note{to: at, topic: offered, pull: p})
 }
 
 // look asks an edge cache for what it holds and no fill, once, where no source has room: copies that are
@@ -292,8 +284,7 @@
 		return false
 	}
 	d.looked = true
-	r.post(note{to: at, topic: offered, pull: &pull{dl: d, at: at, source: at, cost: d.typ.sending(r.now)}})
-	return true
+	return d.alone(r, at)
 }
 
 // bypass asks the parent itself, once, where the edge cache has no room: the copy passes the edge, which may
@@ -304,13 +295,14 @@
 		return false
 	}
 	d.bypassed = true
-	at := d.pick(r, d.parents, func(p *pull) *Node { return p.at })
-	source := d.pick(r, r.tier(origin, ""), func(p *pull) *Node { return p.at })
-	if at == nil || source == nil {
-		return false
+	return d.alone(r, d.pick(r, d.parents, func(p *pull) *Node { return p.at }))
+}
+
+func (d *Download) alone(r *Router, at *Node) bool {
+	if at != nil {
+		r.post(note{to: at, topic: offered, pull: &pull{dl: d, at: at, source: at, cost: d.typ.sending(r.now)}})
 	}
-	r.post(note{to: at, topic: offered, pull: &pull{dl: d, at: at, source: source, cost: d.typ.sending(r.now)}})
-	return true
+	return at != nil
 }
 
 // pick is the first in hash order of those tried least: what a node or a source just failed goes elsewhere,
@@ -321,7 +313,7 @@
 	for _, n := range nodes {
 		tried := 0
 		for _, p := range d.pulls {
-			if of(p) == n && (p.source != p.at || n.role != edge) {
+			if of(p) == n && (p.source != p.at || n.role != edge) && !p.ask {
 				tried++
 			}
 		}
@@ -359,6 +351,8 @@
 		// is that a copy comes down one tier: else edge caches run dry while the parents are away.
 		if r.holders.holds(r, p) || p.source.role == origin && p.at.role == edge {
 			a.Rank = 1
+		} else if d.asks(r, p) {
+			p.ask, d.asked, a.Rank, a.How = true, true, 1, OnlyHeld
 		}
 		if r.foot.flag("join") {
 			a.How |= Join
@@ -383,6 +377,13 @@
 	r.do(a)
 }
 
+// asks tells whether a pull goes out as a question: the parent gives only what it holds, and that is kept. Where
+// several gateways share a location each would else send its own unkept fill of every object before copies
+// build. The table still decides what it knows. A miss costs a short round trip and counts at a cold cache.
+func (d *Download) asks(r *Router, p *pull) bool {
+	return r.peers() > 2 && p.source.role == parent && p.at.role == edge && !d.asked
+}
+
 func (d *Download) end(r *Router, p *pull, e Ended) {
 	p.out = false
 	// Answers don't tell whose fault a failure is: it is shared by what else each of the two has failed. A
@@ -390,11 +391,7 @@
 	if at, source := p.at.share(r.now), p.source.share(r.now); e.Status != NotConnected && e.Status != Broken {
 		p.blame = source / (at + source)
 	}
-	switch e.Status {
-	case TurnedAway, NotConnected, NeverSent, Missed:
-	default:
-		p.may = true
-	}
+	p.may = !slices.Contains([]Status{TurnedAway, NotConnected, NeverSent, Missed}, e.Status)
 	r.post(note{to: p.at, topic: ended, pull: p, event: e})
 	if p.source != p.at {
 		r.post(note{to: p.source, topic: ended, pull: p, event: e})
@@ -404,8 +401,7 @@
 		if d.size == 0 && (e.Note == Held || e.Note == NotTold) {
 			d.typ.count.Add(r.now, 1)
 			d.typ.time.Add(r.now, e.Took)
-			// What is late is told from the quietest times: a jam must not raise its own bar. The mean of a few
-			// is no such time, but chance.
+			// What is late is told from the quietest times, not of a few: a jam must not raise its own bar.
 			mean := d.typ.sending(r.now)
 			if d.typ.seen++; d.typ.seen < 50 || mean < d.typ.quiet {
 				d.typ.quiet = mean
@@ -416,7 +412,9 @@
 	if e.Closed {
 		d.finish(r)
 	} else if !d.done && !d.waiting() && !d.streaming {
-		if r.furthers.Sum(r.now) > 5+0.3*r.firsts.Sum(r.now) {
+		if p.ask && e.Status == Missed {
+			r.furthers.Add(r.now, -1)
+		} else if r.furthers.Sum(r.now) > 5+0.3*r.firsts.Sum(r.now) {
 			d.giveUp(r)
 			return
 		}
@@ -459,7 +457,7 @@
 		answer := granted
 		if !n.admits(r, m.pull) {
 			answer = declined
-		} else if lane := n.lane(m.pull); lane.most > 0 && float64(lane.out) >= lane.most && !m.pull.dl.write {
+		} else if !m.pull.dl.write && r.chance.Below() > n.lane(m.pull).most-float64(n.lane(m.pull).out) {
 			answer = crowded
 		}
 		if answer != granted {
@@ -509,7 +507,7 @@
 		n.standing = trusted
 	}
 	if n.spent.width == 0 || n.booted != e.Booted {
-		// Not when it only comes back to the list: the same process still bears what was asked of it.
+		// Only relisted, a process still bears what was asked of it.
 		n.spent = NewRing(max(1, r.foot.num("fall time"))*1.25, 10)
 	}
 	n.kind, n.zone, n.cell, n.weight, n.booted, n.state = e.Kind, e.Zone, e.Cell, e.Weight, e.Booted, e.State
@@ -541,8 +539,8 @@
 	multiple, gateways := r.foot.num("fall multiple"), r.foot.num("gateways")
 	if n.role == parent {
 		multiple = r.foot.num("parent fall multiple")
-	} else if i := slices.Index(r.foot.list("zones"), any(n.zone)); r.foot.numAt("gateways by zone", i) > 0 {
-		gateways = r.foot.numAt("gateways by zone", i)
+	} else if n.zone == r.foot.text("zone") {
+		gateways = r.peers()
 	}
 	window := r.foot.num("fall time")
 	if w := r.foot.text("weights"); w == "nominal" || w == "rough" {
@@ -587,29 +585,33 @@
 	return true
 }
 
-const laneLeast = 6 // pulls out that are no queue of this gateway's making
-
-func newLane() Lane { return Lane{late: NewRing(span/2, 4), all: NewRing(span/2, 4)} }
-
-// judge bounds how many pulls this gateway has out at a node in one of its roles. Where answers come late or
-// not at all the bound falls below what was out, where they come in time it rises again: more out at once
-// would only make all of them late. It guards against any queue that grows, whatever fills it; it harms where
-// answers are late for reasons of their own, such as a run of very large objects.
-func (l *Lane) judge(now float64, late bool) {
-	l.all.Add(now, 1)
+// judge bounds how many pulls this gateway has out at a node in one of its roles: while over a quarter of the
+// answers come late the bound falls below what is out, and each one in time raises it: more out at once would
+// only make all late. A gateway with little traffic has a bound under one pull, met by chance, so that what a
+// location's many gateways have out together is bounded too. It guards against any queue that grows, whoever
+// fills it; it harms where answers are late for reasons of their own, such as a run of very large objects.
+func (l *Lane) judge(r *Router, late bool) {
+	l.all.Add(r.now, 1)
 	if late {
-		l.late.Add(now, 1)
-	} else if l.most > 0 && float64(l.out) > 0.7*l.most {
-		l.most += 1 / l.most
-	}
-	if now < l.cut+span/8 {
-		return
+		l.late.Add(r.now, 1)
+	} else {
+		l.most += min(0.1, 1/l.most)
 	}
-	if all := l.all.Sum(now); l.out >= laneLeast && all >= 10 && l.late.Sum(now) > 0.25*all {
-		l.most, l.cut = max(laneLeast, 0.8*float64(l.out)), now
+	if r.now >= l.cut+span/8 && l.late.Sum(r.now) > 0.5+0.25*l.all.Sum(r.now) {
+		l.most, l.cut = max(laneLeast/r.peers(), 0.8*min(l.most, float64(l.out+1))), r.now
 	}
 }
 
+const laneLeast = 6 // pulls out that are no queue, of all gateways at a location together
+
+func newLane() Lane { return Lane{most: 1e9, late: NewRing(span/2, 4), all: NewRing(span/2, 4)} }
+
+// peers is how many gateways this location has.
+func (r *Router) peers() float64 {
+	i := slices.Index(r.foot.list("zones"), any(r.foot.text("zone")))
+	return max(1, r.foot.numAt("gateways by zone", i))
+}
+
 func (n *Node) lane(p *pull) *Lane {
 	if p.at == n {
 		return &n.asked
@@ -630,11 +632,10 @@
 			return
 		}
 	}
-	// What a fill's lateness tells is the source's matter, where answers tell fills apart: copies held at the
-	// edge go on being served.
+	// Where answers tell fills apart, their lateness is the source's: copies held at the edge go on being served.
 	untold := e.Note == NotTold && (e.Status == TurnedAway || r.foot.text("notes") == "none")
 	if n != p.at || p.source == p.at || e.Note == Held || untold {
-		lane.judge(r.now, p.late || e.Status == TurnedAway)
+		lane.judge(r, p.late || e.Status == TurnedAway)
 	}
 	if !p.late || n == p.at {
 		switch e.Status {
@@ -651,8 +652,8 @@
 	n.judge(r)
 }
 
-// judge sets aside what fails or hangs more than its peers do. Trouble that all share moves the median too
-// and sets nobody aside, short of failing nearly all; of two that are left a bad one lifts the other's bar.
+// judge sets aside what fails or hangs more than its peers do. Trouble that all share moves the median too and
+// sets nobody aside, short of failing nearly all.
 func (n *Node) judge(r *Router) {
 	if n.standing == returning && r.now-n.since > span {
 		n.standing = trusted
@@ -753,7 +754,7 @@
 	if n.topic == granted {
 		// Where no answer tells a fill from a hit, and while a fill is on its way, a fill sent through the
 		// parent counts as held there: a slow fill would else be passed on unkept to all who ask meanwhile.
-		if d := n.pull.dl; n.pull.source.role == parent {
+		if d := n.pull.dl; n.pull.source.role == parent && !n.pull.ask {
 			entry := h.get(r, d)
 			if r.foot.text("notes") == "none" {
 				entry.parent, entry.at = n.pull.source, r.now
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -18,6 +18,25 @@
 	}
 }
 
+// One of many gateways at a location asks the parent for what it holds, and a miss is then filled unkept.
+func TestAsksWhereManyShareALocation(t *testing.T) {
+	f := foot()
+	f["gateways by zone"] = []any{0.0, 12.0}
+	r := started(f)
+	first := find[Pull](r.Handle(10, video("a")))
+	if len(first) != 1 || first[0].How&OnlyHeld == 0 || first[0].Rank == 0 {
+		t.Fatalf("first landing: %+v, want a question whose answer is kept", first)
+	}
+	then := find[Pull](r.Handle(20, Ended{ID: "a", Status: Missed}))
+	if len(then) != 1 || then[0].How&OnlyHeld != 0 || then[0].Rank != 0 || then[0].Source != first[0].Source {
+		t.Errorf("the parent lacks it: %+v, want a fill by it that keeps nothing at the edge", then)
+	}
+	r.Handle(50, Ended{ID: "a", Pull: 1, Status: Fulfilled, Closed: true, Note: FilledBySource})
+	if again := find[Pull](r.Handle(60, video("b"))); len(again) != 1 || again[0].How&OnlyHeld != 0 || again[0].Rank == 0 {
+		t.Errorf("the table knows it: %+v, want a fill that is kept", again)
+	}
+}
+
 // A parent that has just started gets no more fills than this gateway's share of its cold budget.
 func TestColdParentKeepsItsBudget(t *testing.T) {
 	r := started(foot())
