--- a/router/router.go
+++ b/router/router.go
@@ -381,7 +381,7 @@
 // several gateways share a location each would else send its own unkept fill of every object before copies
 // build. The table still decides what it knows. A miss costs a short round trip and counts at a cold cache.
 func (d *Download) asks(r *Router, p *pull) bool {
-	return r.peers() > 2 && p.source.role == parent && p.at.role == edge && !d.asked
+	return r.peers() > 2 && d.typ.fresh == 0 && p.source.role == parent && p.at.role == edge && !d.asked
 }
 
 func (d *Download) end(r *Router, p *pull, e Ended) {
