A fill turned away shuts the source's lane, not the edge cache's: hits go on

With the origin stopped all places for fills are taken and fills are turned away at once; the edge's lane shut and copies that were there could not be had. An edge cache that is itself full is seen by looks.

--- a/router/router.go
+++ b/router/router.go
@@ -633,7 +633,7 @@
 		}
 	}
 	// Where answers tell fills apart, their lateness is the source's: copies held at the edge go on being served.
-	untold := e.Note == NotTold && (e.Status == TurnedAway || r.foot.text("notes") == "none")
+	untold := e.Note == NotTold && e.Status != TurnedAway && r.foot.text("notes") == "none"
 	if n != p.at || p.source == p.at || e.Note == Held || untold {
 		lane.judge(r, p.late || e.Status == TurnedAway)
 	}
