Old copies within the grace will do while a quarter of fills are late or turned away

Guards against any jam behind the edge, also a stopped origin; costs part of the benefit where a fill would have come in time.

--- a/router/parts.go
+++ b/router/parts.go
@@ -85,13 +85,14 @@
 	firsts   Ring // pulls that were a download's first
 	furthers Ring // and all others
 	volume   Ring // sending time asked for
+	fills    Lane // of all sources together
 }
 
 // New makes a router that waits for its Started.
 func New() *Router {
 	return &Router{nodes: map[string]*Node{}, dls: map[string]*Download{}, types: map[string]*Type{},
 		alarms: map[int64]note{}, firsts: NewRing(span, buckets), furthers: NewRing(span, buckets),
-		volume: NewRing(span, buckets), holders: Holders{entries: map[object]*entry{}},
+		volume: NewRing(span, buckets), fills: newLane(), holders: Holders{entries: map[object]*entry{}},
 		purges: Purges{objects: map[string]float64{}, groups: map[int64]float64{}}}
 }
 
--- a/router/router.go
+++ b/router/router.go
@@ -361,7 +361,7 @@
 			a.How |= Renew
 		}
 		a.MaxAge = r.purges.limit(r, d)
-		if p.source == p.at && a.MaxAge == 0 && d.typ.fresh > 0 {
+		if (p.source == p.at || r.fills.troubled(r)) && a.MaxAge == 0 && d.typ.fresh > 0 {
 			a.MaxAge = d.typ.fresh + d.typ.grace
 		}
 	}
@@ -597,11 +597,13 @@
 	} else {
 		l.most += min(0.1, 1/l.most)
 	}
-	if r.now >= l.cut+span/8 && l.late.Sum(r.now) > 0.5+0.25*l.all.Sum(r.now) {
+	if r.now >= l.cut+span/8 && l.troubled(r) {
 		l.most, l.cut = max(laneLeast/r.peers(), 0.8*min(l.most, float64(l.out+1))), r.now
 	}
 }
 
+func (l *Lane) troubled(r *Router) bool { return l.late.Sum(r.now) > 0.5+0.25*l.all.Sum(r.now) }
+
 const laneLeast = 6 // pulls out that are no queue, of all gateways at a location together
 
 func newLane() Lane { return Lane{most: 1e9, late: NewRing(span/2, 4), all: NewRing(span/2, 4)} }
@@ -636,6 +638,9 @@
 	untold := e.Note == NotTold && e.Status != TurnedAway && r.foot.text("notes") == "none"
 	if n != p.at || p.source == p.at || e.Note == Held || untold {
 		lane.judge(r, p.late || e.Status == TurnedAway)
+		if n != p.at {
+			r.fills.judge(r, p.late || e.Status == TurnedAway)
+		}
 	}
 	if !p.late || n == p.at {
 		switch e.Status {
