--- a/router/router.go
+++ b/router/router.go
@@ -414,7 +414,7 @@
 	} else if !d.done && !d.waiting() && !d.streaming {
 		if p.ask && e.Status == Missed {
 			r.furthers.Add(r.now, -1)
-		} else if r.furthers.Sum(r.now) > 5+0.3*r.firsts.Sum(r.now) {
+		} else if r.furthers.Sum(r.now) > 1+0.3*r.firsts.Sum(r.now) {
 			d.giveUp(r)
 			return
 		}
