--- a/router/router.go
+++ b/router/router.go
@@ -594,7 +594,7 @@
 	l.all.Add(r.now, 1)
 	if late {
 		l.late.Add(r.now, 1)
-	} else {
+	} else if float64(l.out+1) > 0.7*l.most {
 		l.most += min(0.1, 1/l.most)
 	}
 	if r.now >= l.cut+span/8 && l.troubled(r) {
