One lane for all fills of a gateway in place of one a source

Cause: a source of many gets a fill in seconds from one gateway, too few to judge by; the location's link is what jams, and all fills share it. One bad parent among several is left to health.

--- a/router/router.go
+++ b/router/router.go
@@ -457,7 +457,7 @@
 		answer := granted
 		if !n.admits(r, m.pull) {
 			answer = declined
-		} else if !m.pull.dl.write && r.chance.Below() > n.lane(m.pull).most-float64(n.lane(m.pull).out) {
+		} else if !m.pull.dl.write && !r.lane(n, m.pull).open(r) {
 			answer = crowded
 		}
 		if answer != granted {
@@ -468,7 +468,7 @@
 			return
 		}
 		n.charge(r, m.pull.cost)
-		n.lane(m.pull).out++
+		r.lane(n, m.pull).out++
 		if m.pull.at == n && m.pull.source != n {
 			r.post(note{to: m.pull.source, topic: offered, pull: m.pull})
 		} else {
@@ -476,7 +476,7 @@
 		}
 	case released:
 		n.charge(r, -m.pull.cost)
-		n.lane(m.pull).out--
+		r.lane(n, m.pull).out--
 	case ended:
 		n.end(r, m.pull, m.event.(Ended))
 	case overdue:
@@ -602,6 +602,8 @@
 	}
 }
 
+func (l *Lane) open(r *Router) bool { return r.chance.Below() < l.most-float64(l.out) }
+
 func (l *Lane) troubled(r *Router) bool { return l.late.Sum(r.now) > 0.5+0.25*l.all.Sum(r.now) }
 
 const laneLeast = 6 // pulls out that are no queue, of all gateways at a location together
@@ -614,15 +616,16 @@
 	return max(1, r.foot.numAt("gateways by zone", i))
 }
 
-func (n *Node) lane(p *pull) *Lane {
+// lane is a node's own for what is asked of it; all fills share one.
+func (r *Router) lane(n *Node, p *pull) *Lane {
 	if p.at == n {
 		return &n.asked
 	}
-	return &n.filling
+	return &r.fills
 }
 
 func (n *Node) end(r *Router, p *pull, e Ended) {
-	lane := n.lane(p)
+	lane := r.lane(n, p)
 	lane.out--
 	if e.Status == Fulfilled {
 		n.took.Add(r.now, p.cost)
@@ -638,9 +641,6 @@
 	untold := e.Note == NotTold && e.Status != TurnedAway && r.foot.text("notes") == "none"
 	if n != p.at || p.source == p.at || e.Note == Held || untold {
 		lane.judge(r, p.late || e.Status == TurnedAway)
-		if n != p.at {
-			r.fills.judge(r, p.late || e.Status == TurnedAway)
-		}
 	}
 	if !p.late || n == p.at {
 		switch e.Status {
