--- a/router/router.go
+++ b/router/router.go
@@ -197,12 +197,7 @@
 		d.no = append(d.no, n.from)
 		d.seek(r)
 	case crowded:
-		filling := n.from != n.pull.at
-		// A stand-in need not carry all that a lost parent left: what it has no room for goes on to the origin.
-		if filling && n.from.role == parent && n.from != d.parents[0] {
-			d.no = append(d.no, n.from)
-			d.seek(r)
-		} else if !(filling && d.look(r, n.pull.at) || !filling && d.bypass(r)) {
+		if filling := n.from != n.pull.at; !(filling && d.look(r, n.pull.at) || !filling && d.bypass(r)) {
 			d.hold(r)
 		}
 	case granted:
