A cold node's budget under one pull is met by lot; unweighed nodes by the mean of their peers

Cause: at size one gateway's part of a just started node's window is less than one pull costs, so nothing was ever admitted until it was nearly warm, and where no weights are told the least loaded peer took nothing from one gateway within a window. The lots' expected sum is 0.36 of what the node bears, so that chance leaves room.

--- a/internal/nimbus/parse.go
+++ b/internal/nimbus/parse.go
@@ -201,7 +201,7 @@
 // settings names what is handed on: the wire's path on the left, the router's name on the right.
 var settings = [...][2]string{
 	{"azs", "zones"}, {"zone", "zone"}, {"kinds", "kinds"}, {"weights", "weights"},
-	{"replicas_of_me", "gateways"}, {"discovery", "list"}, {"report.how", "reports"},
+	{"replicas_of_me", "gateways"}, {"index", "number"}, {"discovery", "list"}, {"report.how", "reports"},
 	{"classes.name", "types"}, {"classes.promise", "target"}, {"classes.aim_stretch", "stretch"},
 	{"classes.hard_limit", "expiry"}, {"classes.effect", "repeat"}, {"classes.key_scope", "dedupe group"},
 	{"classes.key_ttl", "dedupe window"}, {"classes.worth", "benefit"}, {"classes.late_worth", "late benefit"},
--- a/router/router.go
+++ b/router/router.go
@@ -541,15 +541,14 @@
 	if w := r.foot.text("weights"); w == "nominal" || w == "rough" {
 		return 0.6 * multiple * n.warmth(r) * n.weight * window / max(1, gateways)
 	}
-	least := 0.0
+	took, peers := 0.0, 0.0
 	for _, m := range r.all {
-		if m != n && m.role == n.role && m.state == Running && m.warmth(r) == 1 {
-			if took := m.took.Sum(r.now) * window / span; least == 0 || took < least {
-				least = took
-			}
+		if m.role == n.role && m.state != Gone && (m.zone == n.zone || n.role == parent) {
+			took += m.took.Sum(r.now)
+			peers++
 		}
 	}
-	return 0.6 * multiple * n.warmth(r) * least
+	return 0.6 * multiple * n.warmth(r) * took / peers * window / span
 }
 
 func (n *Node) charge(r *Router, cost float64) {
@@ -567,7 +566,14 @@
 		if r.now < r.born+r.foot.num("fall time") && n.booted < r.born {
 			return false
 		}
-		if n.spent.Sum(r.now)+p.cost > n.budget(r) {
+		// One of many gateways may be left less than one pull: a lot drawn for each window says whether it is its
+		// turn, so that all together spend no more than their parts on average.
+		most := n.budget(r)
+		turn := mix(n.hash ^ mix(uint64(r.now/r.foot.num("fall time"))<<16+uint64(r.foot.num("number"))))
+		if p.cost > most && 0.6*most > p.cost*float64(turn>>11)/(1<<53) {
+			most = p.cost
+		}
+		if n.spent.Sum(r.now)+p.cost > most {
 			return false
 		}
 	}
