--- a/router/parts.go
+++ b/router/parts.go
@@ -139,7 +139,7 @@
 	weight         float64
 	cell           int64
 	booted         float64
-	asked, filling Lane // pulls out to it, and pulls whose misses it fills
+	asked          Lane // pulls out to it
 	good, bad      Ring
 	spent          Ring // sending time charged while cold
 	took           Ring // sending time fulfilled
--- a/router/router.go
+++ b/router/router.go
@@ -271,9 +271,8 @@
 	}
 }
 
-// look asks an edge cache for what it holds and no fill, once, where no source has room: copies that are
-// there can be had whatever jams behind them, old ones too where the type allows any. A miss costs little and
-// is known not to have run. It harms by one more pull where the edge caches themselves are short.
+// look asks an edge cache for what it holds and no fill, once, where no source has room: copies can be had
+// whatever jams behind them. A miss costs little, but is one more pull where edge caches themselves are short.
 func (d *Download) look(r *Router, at *Node) bool {
 	if d.looked || d.write || at.role != edge {
 		return false
@@ -282,9 +281,8 @@
 	return d.alone(r, at)
 }
 
-// bypass asks the parent itself, once, where the edge cache has no room: the copy passes the edge, which may
-// be all that is short, as after a release that left a location few and empty caches. The parent's own lane
-// bounds it, so where the link behind all of them is short it soon ends.
+// bypass asks the parent itself, once, where the edge cache has no room: the edge may be all that is short, as
+// after a release that left few and empty caches. The parent's own lane bounds it where the link is short too.
 func (d *Download) bypass(r *Router) bool {
 	if d.bypassed || d.write || !r.foot.flag("direct") {
 		return false
@@ -539,7 +537,7 @@
 	}
 	window := r.foot.num("fall time")
 	if w := r.foot.text("weights"); w == "nominal" || w == "rough" {
-		return 0.6 * multiple * n.warmth(r) * n.weight * window / max(1, gateways)
+		return 0.8 * multiple * n.warmth(r) * n.weight * window / max(1, gateways)
 	}
 	took, peers := 0.0, 0.0
 	for _, m := range r.all {
@@ -548,7 +546,7 @@
 			peers++
 		}
 	}
-	return 0.6 * multiple * n.warmth(r) * took / peers * window / span
+	return 0.8 * multiple * n.warmth(r) * took / peers * window / span
 }
 
 func (n *Node) charge(r *Router, cost float64) {
@@ -570,7 +568,7 @@
 		// turn, so that all together spend no more than their parts on average.
 		most := n.budget(r)
 		turn := mix(n.hash ^ mix(uint64(r.now/r.foot.num("fall time"))<<16+uint64(r.foot.num("number"))))
-		if p.cost > most && 0.6*most > p.cost*float64(turn>>11)/(1<<53) {
+		if p.cost > most && most > p.cost*float64(turn>>11)/(1<<53) {
 			most = p.cost
 		}
 		if n.spent.Sum(r.now)+p.cost > most {
