--- a/router/parts.go
+++ b/router/parts.go
@@ -47,7 +47,7 @@
 	late   bool    // out past its target time
 	sent   float64
 	cost   float64 // sending time, of the mean of its type
-	ask    bool    // only for what the parent holds
+	ask    bool    // for what the source holds, no more
 	last   bool    // nothing healthier is left
 }
 
@@ -85,7 +85,7 @@
 	firsts   Ring // pulls that were a download's first
 	furthers Ring // and all others
 	volume   Ring // sending time asked for
-	fills    Lane // of all sources together
+	fills    Lane // all fills of this gateway
 }
 
 // New makes a router that waits for its Started.
@@ -122,7 +122,7 @@
 	pulls     []*pull
 	no        []*Node // who declined since the last pull
 	last      bool
-	asked     bool
+	asked     bool // the parent for what it holds
 	looked    bool // for a copy without a fill
 	bypassed  bool // the edge caches
 	done      bool
@@ -151,7 +151,7 @@
 func newNode(id string) *Node {
 	return &Node{id: id, hash: hash(id), state: Gone, good: NewRing(span, buckets), bad: NewRing(span, buckets),
 		took:  NewRing(span, buckets),
-		asked: newLane(), filling: newLane()}
+		asked: newLane()}
 }
 
 type Lane struct {
