Ask the parent for what it holds where fills have no room

Cause: with the origin stopped or slow all fills of a gateway shut together, also those that the parents hold, and only copies at the edge were looked for. Asks have a lane of their own, as the origin does not matter to them.

--- a/router/parts.go
+++ b/router/parts.go
@@ -86,13 +86,14 @@
 	furthers Ring // and all others
 	volume   Ring // sending time asked for
 	fills    Lane // all fills of this gateway
+	asks     Lane // those for what the source holds
 }
 
 // New makes a router that waits for its Started.
 func New() *Router {
 	return &Router{nodes: map[string]*Node{}, dls: map[string]*Download{}, types: map[string]*Type{},
 		alarms: map[int64]note{}, firsts: NewRing(span, buckets), furthers: NewRing(span, buckets),
-		volume: NewRing(span, buckets), fills: newLane(), holders: Holders{entries: map[object]*entry{}},
+		volume: NewRing(span, buckets), fills: newLane(), asks: newLane(), holders: Holders{entries: map[object]*entry{}},
 		purges: Purges{objects: map[string]float64{}, groups: map[int64]float64{}}}
 }
 
--- a/router/router.go
+++ b/router/router.go
@@ -197,7 +197,12 @@
 		d.no = append(d.no, n.from)
 		d.seek(r)
 	case crowded:
-		if filling := n.from != n.pull.at; !(filling && d.look(r, n.pull.at) || !filling && d.bypass(r)) {
+		p, filling := n.pull, n.from != n.pull.at
+		if filling && d.mayAsk(p) {
+			ask := *p
+			ask.ask = true
+			r.post(note{to: p.at, topic: offered, pull: &ask})
+		} else if !(filling && d.look(r, p.at) || !filling && d.bypass(r)) {
 			d.hold(r)
 		}
 	case granted:
@@ -262,6 +267,7 @@
 	}
 	if at != nil && source != nil && d.free(r, at) {
 		p := &pull{dl: d, at: at, source: source, cost: d.typ.sending(r.now), last: d.last}
+		p.ask = r.peers() > 2 && d.typ.fresh == 0 && !r.holders.holds(r, p) && d.mayAsk(p)
 		r.post(note{to: at, topic: offered, pull: p})
 	} else if !d.last {
 		d.no, d.last = nil, true
@@ -344,8 +350,9 @@
 		// is that a copy comes down one tier: else edge caches run dry while the parents are away.
 		if r.holders.holds(r, p) || p.source.role == origin && p.at.role == edge {
 			a.Rank = 1
-		} else if d.asks(r, p) {
-			p.ask, d.asked, a.Rank, a.How = true, true, 1, OnlyHeld
+		}
+		if p.ask {
+			d.asked, a.Rank, a.How = true, 1, OnlyHeld
 		}
 		if r.foot.flag("join") {
 			a.How |= Join
@@ -354,7 +361,7 @@
 			a.How |= Renew
 		}
 		a.MaxAge = r.purges.limit(r, d)
-		if (p.source == p.at || r.fills.troubled(r)) && a.MaxAge == 0 && d.typ.fresh > 0 {
+		if (p.source == p.at || r.fills.troubled(r) || r.asks.troubled(r)) && a.MaxAge == 0 && d.typ.fresh > 0 {
 			a.MaxAge = d.typ.fresh + d.typ.grace
 		}
 	}
@@ -370,11 +377,8 @@
 	r.do(a)
 }
 
-// asks tells whether a pull goes out as a question: the parent gives only what it holds, and that is kept. Where
-// several gateways share a location each would else send its own unkept fill of every object before copies
-// build. The table still decides what it knows. A miss costs a short round trip and counts at a cold cache.
-func (d *Download) asks(r *Router, p *pull) bool {
-	return r.peers() > 2 && d.typ.fresh == 0 && p.source.role == parent && p.at.role == edge && !d.asked
+func (d *Download) mayAsk(p *pull) bool {
+	return !d.write && !d.asked && !p.ask && p.source.role == parent && p.at.role == edge
 }
 
 func (d *Download) end(r *Router, p *pull, e Ended) {
@@ -620,6 +624,9 @@
 	if p.at == n {
 		return &n.asked
 	}
+	if p.ask {
+		return &r.asks
+	}
 	return &r.fills
 }
 
