--- a/router/parts.go
+++ b/router/parts.go
@@ -72,6 +72,7 @@
 	now      float64
 	born     float64
 	chance   Chance
+	peers    float64 // gateways at this location
 	queue    []note
 	out      []Action
 	nodes    map[string]*Node
--- a/router/router.go
+++ b/router/router.go
@@ -76,6 +76,8 @@
 
 func (r *Router) start(e Started) {
 	r.foot, r.born, r.chance = e.Footprint, r.now, Chance(e.Seed|1)
+	here := slices.Index(r.foot.list("zones"), any(r.foot.text("zone")))
+	r.peers = max(1, r.foot.numAt("gateways by zone", here))
 	for i := range r.foot.list("types") {
 		t := &Type{name: r.foot.textAt("types", i), repeat: r.foot.textAt("repeat", i),
 			scope: r.foot.textAt("dedupe group", i), window: r.foot.numAt("dedupe window", i),
@@ -197,12 +199,11 @@
 		d.no = append(d.no, n.from)
 		d.seek(r)
 	case crowded:
-		p, filling := n.pull, n.from != n.pull.at
-		if filling && d.mayAsk(p) {
-			ask := *p
-			ask.ask = true
-			r.post(note{to: p.at, topic: offered, pull: &ask})
-		} else if !(filling && d.look(r, p.at) || !filling && d.bypass(r)) {
+		filling := n.from != n.pull.at
+		if filling && d.mayAsk(n.pull) {
+			n.pull.ask = true
+			r.post(note{to: n.pull.at, topic: offered, pull: n.pull})
+		} else if !(filling && d.look(r, n.pull.at) || !filling && d.bypass(r)) {
 			d.hold(r)
 		}
 	case granted:
@@ -231,10 +232,8 @@
 		if !p.may && !p.out || d.typ.repeat == "retriable" {
 			continue
 		}
-		if d.typ.repeat != "deduped" || r.now >= p.sent+d.typ.window {
-			return false
-		}
-		if d.typ.scope == "zone" && p.at.zone != to.zone || d.typ.scope == "cell" && p.at.cell != to.cell {
+		if d.typ.repeat != "deduped" || r.now >= p.sent+d.typ.window ||
+			d.typ.scope == "zone" && p.at.zone != to.zone || d.typ.scope == "cell" && p.at.cell != to.cell {
 			return false
 		}
 	}
@@ -267,7 +266,7 @@
 	}
 	if at != nil && source != nil && d.free(r, at) {
 		p := &pull{dl: d, at: at, source: source, cost: d.typ.sending(r.now), last: d.last}
-		p.ask = r.peers() > 2 && d.typ.fresh == 0 && !r.holders.holds(r, p) && d.mayAsk(p)
+		p.ask = r.peers > 2 && d.typ.fresh == 0 && !r.holders.holds(r, p) && d.mayAsk(p)
 		r.post(note{to: at, topic: offered, pull: p})
 	} else if !d.last {
 		d.no, d.last = nil, true
@@ -278,7 +277,7 @@
 }
 
 // look asks an edge cache for what it holds and no fill, once, where no source has room: copies can be had
-// whatever jams behind them. A miss costs little, but is one more pull where edge caches themselves are short.
+// whatever jams behind them. A miss costs little, but is one more pull where edge caches themselves lack room.
 func (d *Download) look(r *Router, at *Node) bool {
 	if d.looked || d.write || at.role != edge {
 		return false
@@ -287,8 +286,8 @@
 	return d.alone(r, at)
 }
 
-// bypass asks the parent itself, once, where the edge cache has no room: the edge may be all that is short, as
-// after a release that left few and empty caches. The parent's own lane bounds it where the link is short too.
+// bypass asks the parent itself, once, where the edge cache has no room: the edge may be all that is short,
+// as after a release that left few and empty caches. The parent's own lane bounds it.
 func (d *Download) bypass(r *Router) bool {
 	if d.bypassed || d.write || !r.foot.flag("direct") {
 		return false
@@ -340,11 +339,11 @@
 		return
 	}
 	a := Pull{ID: d.id, Node: p.at.id, Source: p.source.id, Timeout: d.expiry - r.now}
+	count := &r.furthers
 	if len(d.pulls) == 0 {
-		r.firsts.Add(r.now, 1)
-	} else {
-		r.furthers.Add(r.now, 1)
+		count = &r.firsts
 	}
+	count.Add(r.now, 1)
 	if !d.write {
 		// Where no parent takes the fill, the origin is the tier above the edge, and what is left of the rule
 		// is that a copy comes down one tier: else edge caches run dry while the parents are away.
@@ -377,6 +376,9 @@
 	r.do(a)
 }
 
+// mayAsk tells whether a pull may be a question: the source gives only what it holds, and that is kept. Where
+// several gateways share a location each would else send an unkept fill before copies build; where fills have
+// no room, a stopped origin does not matter to it. A miss costs a round trip and counts at a cold cache.
 func (d *Download) mayAsk(p *pull) bool {
 	return !d.write && !d.asked && !p.ask && p.source.role == parent && p.at.role == edge
 }
@@ -537,7 +539,7 @@
 	if n.role == parent {
 		multiple = r.foot.num("parent fall multiple")
 	} else if n.zone == r.foot.text("zone") {
-		gateways = r.peers()
+		gateways = r.peers
 	}
 	window := r.foot.num("fall time")
 	if w := r.foot.text("weights"); w == "nominal" || w == "rough" {
@@ -564,18 +566,15 @@
 		return false
 	}
 	if n.warmth(r) < 1 {
-		// A gateway that has just started doesn't know what it spent in its former life.
-		if r.now < r.born+r.foot.num("fall time") && n.booted < r.born {
-			return false
-		}
 		// One of many gateways may be left less than one pull: a lot drawn for each window says whether it is its
 		// turn, so that all together spend no more than their parts on average.
-		most := n.budget(r)
-		turn := mix(n.hash ^ mix(uint64(r.now/r.foot.num("fall time"))<<16+uint64(r.foot.num("number"))))
+		most, window := n.budget(r), r.foot.num("fall time")
+		turn := mix(n.hash ^ mix(uint64(r.now/window)<<16+uint64(r.foot.num("number"))))
 		if p.cost > most && most > p.cost*float64(turn>>11)/(1<<53) {
 			most = p.cost
 		}
-		if n.spent.Sum(r.now)+p.cost > most {
+		// A gateway that has just started doesn't know what it spent in its former life.
+		if r.now < r.born+window && n.booted < r.born || n.spent.Sum(r.now)+p.cost > most {
 			return false
 		}
 	}
@@ -601,7 +600,7 @@
 		l.most += min(0.1, 1/l.most)
 	}
 	if r.now >= l.cut+span/8 && l.troubled(r) {
-		l.most, l.cut = max(laneLeast/r.peers(), 0.8*min(l.most, float64(l.out+1))), r.now
+		l.most, l.cut = max(laneLeast/r.peers, 0.8*min(l.most, float64(l.out+1))), r.now
 	}
 }
 
@@ -613,18 +612,11 @@
 
 func newLane() Lane { return Lane{most: 1e9, late: NewRing(span/2, 4), all: NewRing(span/2, 4)} }
 
-// peers is how many gateways this location has.
-func (r *Router) peers() float64 {
-	i := slices.Index(r.foot.list("zones"), any(r.foot.text("zone")))
-	return max(1, r.foot.numAt("gateways by zone", i))
-}
-
-// lane is a node's own for what is asked of it; all fills share one.
+// lane is a node's own for what is asked of it. Fills share one, as they do the link, and questions another.
 func (r *Router) lane(n *Node, p *pull) *Lane {
 	if p.at == n {
 		return &n.asked
-	}
-	if p.ask {
+	} else if p.ask {
 		return &r.asks
 	}
 	return &r.fills
@@ -643,7 +635,7 @@
 			return
 		}
 	}
-	// Where answers tell fills apart, their lateness is the source's: copies held at the edge go on being served.
+	// Where answers tell fills apart, their lateness is the source's: copies at the edge go on being served.
 	untold := e.Note == NotTold && e.Status != TurnedAway && r.foot.text("notes") == "none"
 	if n != p.at || p.source == p.at || e.Note == Held || untold {
 		lane.judge(r, p.late || e.Status == TurnedAway)
@@ -663,8 +655,8 @@
 	n.judge(r)
 }
 
-// judge sets aside what fails or hangs more than its peers do. Trouble that all share moves the median too and
-// sets nobody aside, short of failing nearly all.
+// judge sets aside what fails or hangs more than its peers do. Trouble that all share moves the median too
+// and sets nobody aside, short of failing nearly all.
 func (n *Node) judge(r *Router) {
 	if n.standing == returning && r.now-n.since > span {
 		n.standing = trusted
