--- a/router/parts.go
+++ b/router/parts.go
@@ -157,9 +157,9 @@
 }
 
 type Lane struct {
-	out       int
-	most, cut float64
-	late, all Ring
+	out                int
+	most, cut          float64
+	late, all, refused Ring
 }
 
 // Holders is the table of Leave Copy Down: which objects the hashed parent holds, as far as this router saw.
