--- a/router/parts.go
+++ b/router/parts.go
@@ -159,7 +159,7 @@
 type Lane struct {
 	out                int
 	most, cut          float64
-	late, all, refused Ring
+	late, all, failed Ring
 }
 
 // Holders is the table of Leave Copy Down: which objects the hashed parent holds, as far as this router saw.
--- a/router/router.go
+++ b/router/router.go
@@ -200,7 +200,7 @@
 		d.seek(r)
 	case crowded:
 		filling := n.from != n.pull.at
-		if filling && r.fills.refused.Sum(r.now) > 0.5*r.fills.late.Sum(r.now) && d.mayAsk(n.pull) {
+		if filling && r.fills.failed.Sum(r.now) > 0.5*r.fills.late.Sum(r.now) && d.mayAsk(n.pull) {
 			n.pull.ask = true
 			r.post(note{to: n.pull.at, topic: offered, pull: n.pull})
 		} else if !(filling && d.look(r, n.pull.at) || !filling && d.bypass(r)) {
@@ -611,7 +611,7 @@
 const laneLeast = 6 // pulls out that are no queue, of all gateways at a location together
 
 func newLane() Lane {
-	return Lane{most: 1e9, late: NewRing(span/2, 4), all: NewRing(span/2, 4), refused: NewRing(span/2, 4)}
+	return Lane{most: 1e9, late: NewRing(span/2, 4), all: NewRing(span/2, 4), failed: NewRing(span/2, 4)}
 }
 
 // lane is a node's own for what is asked of it. Fills share one, as they do the link, and questions another.
@@ -641,8 +641,8 @@
 	untold := e.Note == NotTold && e.Status != TurnedAway && r.foot.text("notes") == "none"
 	if n != p.at || p.source == p.at || e.Note == Held || untold {
 		lane.judge(r, p.late || e.Status == TurnedAway)
-		if e.Status == TurnedAway {
-			lane.refused.Add(r.now, 1)
+		if e.Status != Fulfilled && e.Status != Missed {
+			lane.failed.Add(r.now, 1)
 		}
 	}
 	if !p.late || n == p.at {
