--- a/router/parts.go
+++ b/router/parts.go
@@ -157,8 +157,8 @@
 }
 
 type Lane struct {
-	out                int
-	most, cut          float64
+	out               int
+	most, cut         float64
 	late, all, failed Ring
 }
 
--- a/router/router.go
+++ b/router/router.go
@@ -466,7 +466,7 @@
 			r.post(note{to: m.pull.dl, topic: answer, pull: m.pull, from: n})
 			return
 		}
-		n.charge(r, m.pull.cost)
+		n.spent.Add(r.now, m.pull.cost)
 		r.lane(n, m.pull).out++
 		if m.pull.at == n && m.pull.source != n {
 			r.post(note{to: m.pull.source, topic: offered, pull: m.pull})
@@ -474,7 +474,7 @@
 			r.post(note{to: m.pull.dl, topic: granted, pull: m.pull})
 		}
 	case released:
-		n.charge(r, -m.pull.cost)
+		n.spent.Add(r.now, -m.pull.cost)
 		r.lane(n, m.pull).out--
 	case ended:
 		n.end(r, m.pull, m.event.(Ended))
@@ -555,12 +555,6 @@
 	return 0.8 * multiple * n.warmth(r) * took / peers * window / span
 }
 
-func (n *Node) charge(r *Router, cost float64) {
-	if n.warmth(r) < 1 {
-		n.spent.Add(r.now, cost)
-	}
-}
-
 func (n *Node) admits(r *Router, p *pull) bool {
 	if n.state != Running {
 		return false
@@ -631,7 +625,7 @@
 		n.took.Add(r.now, p.cost)
 		if n != p.at && e.Note == Held {
 			// It was not asked after all: its charge goes back, and this says nothing of its health.
-			if n.warmth(r) < 1 {
+			if p.sent > n.booted {
 				n.spent.Add(p.sent, -p.cost)
 			}
 			return
