--- a/router/router.go
+++ b/router/router.go
@@ -641,7 +641,7 @@
 	}
 	if !p.late || n == p.at {
 		switch e.Status {
-		case Fulfilled:
+		case Fulfilled, Missed:
 			n.good.Add(r.now, 1)
 		case Failed, TimedOut, NotConnected, Broken, TurnedAway:
 			blame := p.blame
