--- a/router/model_test.go
+++ b/router/model_test.go
@@ -138,6 +138,7 @@
 	dice := rand.New(rand.NewSource(seed))
 	f := foot()
 	f["direct"], f["notes"] = dice.Intn(2) == 0, []string{"hit", "none"}[dice.Intn(2)]
+	f["gateways by zone"] = []any{0.0, []any{1.0, 12.0}[dice.Intn(2)]} // of several, each asks what the parent holds
 	f["types"], f["target"] = []any{"video", "sale", "order"}, []any{600.0, 800.0, 700.0}
 	f["repeat"] = []any{"retriable", "non-retriable", "deduped"}
 	f["dedupe group"], f["dedupe window"] = []any{"all", "all", "zone"}, []any{0.0, 0.0, 5000.0}
@@ -242,3 +243,52 @@
 	s.may = e.Status != TurnedAway && e.Status != NotConnected && e.Status != NeverSent && e.Status != Missed
 	tell(e)
 }
+
+// TestManyGatewaysShareAColdParent adds up what all gateways together ask of a parent that has just started, where
+// the part of each is less than one pull: never more than it bears, and not nothing.
+func TestManyGatewaysShareAColdParent(t *testing.T) {
+	day := func(seed int64) bool {
+		dice := rand.New(rand.NewSource(seed))
+		m := &model{foot: foot(), now: 100_000, states: map[string]State{}, booted: map[string]float64{"p1": 100_000},
+			told: map[string]float64{}}
+		list := fleet()
+		list.Entries[2].Booted = 100_000
+		many := make([]*Router, 50+dice.Intn(150))
+		for i := range many {
+			f := foot()
+			f["gateways"], f["number"] = float64(len(many)), float64(i)
+			f["gateways by zone"] = []any{0.0, float64(len(many) / 5)}
+			many[i] = New()
+			many[i].Handle(0, Started{Seed: uint64(i), Footprint: f})
+			many[i].Handle(100_000, list)
+		}
+		asked := 0
+		for step := 0; step < 6000 && m.broken == ""; step++ {
+			m.now += 1
+			r, a := many[dice.Intn(len(many))], video(fmt.Sprint(step))
+			a.Object, a.Expiry, a.Size = fmt.Sprint(dice.Intn(5000)), m.now+3000, 3000
+			for n, e := 0, Event(a); e != nil; n++ {
+				pulls := find[Pull](r.Handle(m.now, e))
+				if e = nil; len(pulls) == 0 {
+					break
+				}
+				if p := pulls[0]; p.Source == "p1" {
+					asked++
+					m.pulls = append(m.pulls, &sent{Pull: p, at: m.now, cost: 300})
+					m.cold("p1")
+				}
+				e = Ended{ID: a.ID, Pull: n, Status: Fulfilled, Closed: true, Note: FilledBySource}
+				if pulls[0].How&OnlyHeld != 0 {
+					e = Ended{ID: a.ID, Pull: n, Status: Missed}
+				}
+			}
+		}
+		if m.broken != "" || asked < 10 {
+			t.Logf("%d gateways: %d asked; %s", len(many), asked, m.broken)
+		}
+		return m.broken == "" && asked >= 10
+	}
+	if err := quick.Check(day, &quick.Config{MaxCount: 5, Rand: rand.New(rand.NewSource(5))}); err != nil {
+		t.Error(err)
+	}
+}
