Where the hashed parent does not fill, what another location's cache holds comes down

Where the site lets any cache give to others, the cache of another location that hashes to the object is asked for what it holds. Guards against lost, slow and cold parents and a stopped origin. Harms by a round trip for a miss, and by bytes from a hub further off. All rules kept.

--- a/router/model_test.go
+++ b/router/model_test.go
@@ -152,6 +152,8 @@
 		}
 	}
 	list := fleet()
+	list.Entries = append(list.Entries, Entry{Node: "x1", Kind: "box", Zone: "other", Weight: 10})
+	f["siblings"] = []string{"none", "any"}[dice.Intn(2)]
 	start := func() {
 		r, alarms, m.owed, m.purged = New(), nil, map[string]*owing{}, map[int64]float64{}
 		for _, s := range m.pulls {
--- a/router/parts.go
+++ b/router/parts.go
@@ -59,6 +59,13 @@
 	origin
 )
 
+// Ways out of the ordinary that a download goes at most once each.
+const (
+	looked = 1 << iota
+	bypassed
+	kinned
+)
+
 type standing int
 
 const (
@@ -125,8 +132,7 @@
 	no        []*Node // who declined since the last pull
 	last      bool
 	asked     bool // the parent for what it holds
-	looked    bool // for a copy without a fill
-	bypassed  bool // the edge caches
+	ways      int  // out of the ordinary that it has gone
 	done      bool
 	streaming bool
 }
--- a/router/router.go
+++ b/router/router.go
@@ -203,7 +203,7 @@
 		if filling && r.fills.failed.Sum(r.now) > 0.5*r.fills.late.Sum(r.now) && d.mayAsk(n.pull) {
 			n.pull.ask = true
 			r.post(note{to: n.pull.at, topic: offered, pull: n.pull})
-		} else if !(filling && d.look(r, n.pull.at) || !filling && d.bypass(r)) {
+		} else if !(filling && (d.kin(r, n.pull.at) || d.look(r, n.pull.at)) || !filling && d.bypass(r)) {
 			d.hold(r)
 		}
 	case granted:
@@ -246,8 +246,7 @@
 	if d.done {
 		return
 	}
-	left := d.expiry - r.now
-	if left <= 1 || len(d.pulls) >= int(r.foot.num("most pulls")) {
+	if d.expiry-r.now <= 1 || len(d.pulls) >= int(r.foot.num("most pulls")) {
 		d.giveUp(r)
 		return
 	}
@@ -261,7 +260,8 @@
 	if r.foot.flag("direct") && (d.write || at == nil) {
 		at, source = source, d.pick(r, origins, func(p *pull) *Node { return p.source })
 	}
-	if source == nil && at != nil && d.look(r, at) {
+	away := len(d.parents) > 0 && source != d.parents[0]
+	if at != nil && (away && d.kin(r, at) || source == nil && d.look(r, at)) {
 		return
 	}
 	if at != nil && source != nil && d.free(r, at) {
@@ -279,28 +279,36 @@
 // look asks an edge cache for what it holds and no fill, once, where no source has room: copies can be had
 // whatever jams behind them. A miss costs little, but is one more pull where edge caches themselves lack room.
 func (d *Download) look(r *Router, at *Node) bool {
-	if d.looked || d.write || at.role != edge {
-		return false
-	}
-	d.looked = true
-	return d.alone(r, at)
+	return at.role == edge && d.once(r, looked, &pull{at: at, source: at})
 }
 
 // bypass asks the parent itself, once, where the edge cache has no room: the edge may be all that is short,
 // as after a release that left few and empty caches. The parent's own lane bounds it.
 func (d *Download) bypass(r *Router) bool {
-	if d.bypassed || d.write || !r.foot.flag("direct") {
+	at := d.pick(r, d.parents, func(p *pull) *Node { return p.at })
+	return at != nil && r.foot.flag("direct") && d.once(r, bypassed, &pull{at: at, source: at})
+}
+
+// kin asks another location's cache for what it holds, once, where the hashed parent does not fill: in place
+// of the level above, so what it holds comes down. A miss is a round trip, a hit may come from further off.
+func (d *Download) kin(r *Router, at *Node) bool {
+	if d.ways&kinned != 0 || at.role != edge || r.foot.text("siblings") != "any" {
 		return false
 	}
-	d.bypassed = true
-	return d.alone(r, d.pick(r, d.parents, func(p *pull) *Node { return p.at }))
+	all := r.rank(r.tier(edge, ""), hash(d.key.name, fmt.Sprint(d.key.part)))
+	i := slices.IndexFunc(all, func(n *Node) bool {
+		return n.zone != at.zone && n.state == Running && n.standing == trusted && n.warmth(r) == 1
+	})
+	return i >= 0 && d.once(r, kinned, &pull{at: at, source: all[i], ask: true})
 }
 
-func (d *Download) alone(r *Router, at *Node) bool {
-	if at != nil {
-		r.post(note{to: at, topic: offered, pull: &pull{dl: d, at: at, source: at, cost: d.typ.sending(r.now)}})
+func (d *Download) once(r *Router, way int, p *pull) bool {
+	if d.write || d.ways&way != 0 {
+		return false
 	}
-	return at != nil
+	p.dl, p.cost, d.ways = d, d.typ.sending(r.now), d.ways|way
+	r.post(note{to: p.at, topic: offered, pull: p})
+	return true
 }
 
 // pick is the first in hash order of those tried least: what a node or a source just failed goes elsewhere,
@@ -366,10 +374,7 @@
 	}
 	r.post(note{to: &r.holders, topic: granted, pull: p})
 	p.out, p.sent = true, r.now
-	size := d.size
-	if size == 0 {
-		size = 0.75 * d.typ.quiet // most are smaller than the mean of sizes that differ much
-	}
+	size := cmp.Or(d.size, 0.75*d.typ.quiet) // most are smaller than the mean of sizes that differ much
 	// What hangs would else be seen only at the expiry, seconds after the peers have answered.
 	r.alarm(r.now+d.typ.target+d.typ.stretch*size, note{to: d, topic: overdue, pull: p})
 	d.pulls, d.no, d.last = append(d.pulls, p), nil, false
@@ -734,11 +739,7 @@
 // cache of this location gets on average.
 func (h *Holders) heat(r *Router, d *Download) bool {
 	e := h.get(r, d)
-	work := d.size
-	if work == 0 {
-		work = d.typ.sending(r.now)
-	}
-	e.heat.Add(r.now, work)
+	e.heat.Add(r.now, cmp.Or(d.size, d.typ.sending(r.now)))
 	return e.heat.Sum(r.now)/heatSpan > 0.25*r.volume.Sum(r.now)/span/float64(len(d.edges)+1)
 }
 
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -82,3 +82,26 @@
 		}
 	}
 }
+
+// With its hashed parent away, what another location's cache holds comes down, where caches may give to others; a miss
+// goes on to the next source.
+func TestAsksKinWhileTheParentIsAway(t *testing.T) {
+	f := foot()
+	f["siblings"] = "any"
+	r := started(f)
+	far := Entry{Node: "x1", Kind: "box", Zone: "other", Weight: 10}
+	r.Handle(1, Listed{Entries: []Entry{far, {Node: "p1", Kind: "parent", Zone: "hub", Weight: 20, State: Draining},
+		{Node: "p2", Kind: "parent", Zone: "hub", Weight: 20, State: Draining}}})
+	p := find[Pull](r.Handle(10, video("a")))
+	if len(p) != 1 || p[0].Source != "x1" || p[0].How&OnlyHeld == 0 || p[0].Rank == 0 || p[0].Node == "x1" {
+		t.Fatalf("no parent left: %+v, want what x1 holds, by way of an edge cache here, kept", p)
+	}
+	if p = find[Pull](r.Handle(20, Ended{ID: "a", Status: Missed})); len(p) != 1 || p[0].Source != "o" {
+		t.Errorf("x1 lacks it: %+v, want the origin", p)
+	}
+	far.State = Draining
+	r.Handle(30, Listed{Entries: []Entry{far}})
+	if p = find[Pull](r.Handle(40, video("b"))); len(p) != 1 || p[0].Source != "o" {
+		t.Errorf("x1 drains: %+v, want the origin", p)
+	}
+}
