--- a/router/router.go
+++ b/router/router.go
@@ -548,7 +548,7 @@
 	}
 	window := r.foot.num("fall time")
 	if w := r.foot.text("weights"); w == "nominal" || w == "rough" {
-		return 0.9 * multiple * n.warmth(r) * n.weight * window / max(1, gateways)
+		return 0.8 * multiple * n.warmth(r) * n.weight * window / max(1, gateways)
 	}
 	took, peers := 0.0, 0.0
 	for _, m := range r.all {
@@ -557,7 +557,7 @@
 			peers++
 		}
 	}
-	return 0.9 * multiple * n.warmth(r) * took / peers * window / span
+	return 0.8 * multiple * n.warmth(r) * took / peers * window / span
 }
 
 func (n *Node) admits(r *Router, p *pull) bool {
