--- a/router/trouble_test.go
+++ b/router/trouble_test.go
@@ -119,3 +119,21 @@
 		t.Errorf("after a purge: %+v, want copies younger than it", p)
 	}
 }
+
+// A list that names nobody, and settings that make no sense, leave every download with its one answer.
+func TestNonsenseEndsInTime(t *testing.T) {
+	f := foot()
+	f["benefit"], f["gateways by zone"], f["gateways"], f["fall time"] = []any{-3.0}, []any{"many"}, -1.0, 0.0
+	for _, l := range []Listed{{Scope: Whole}, {Entries: []Entry{{Node: "e1", Kind: "odd", Weight: -5, Booted: 1e12}}}} {
+		r := started(f)
+		r.Handle(1, l)
+		r.Handle(2, Ended{ID: "nobody", Pull: 9, Note: 99})
+		a := video("a")
+		a.Expiry = 3000
+		end := answers(r, 10, a)
+		end = append(end, answers(r, 2999, Ended{ID: "a", Status: Failed, Note: 99, Load: map[string]float64{"held": -1e300}})...)
+		if len(end) != 1 {
+			t.Errorf("%+v: answers %+v, want one", l, end)
+		}
+	}
+}
