--- /dev/null
+++ b/internal/assert/release.go
@@ -0,0 +1,5 @@
+//go:build !debug
+
+package assert
+
+func fail(string) {}
--- /dev/null
+++ b/internal/caches/resp.go
@@ -0,0 +1,168 @@
+// Package caches speaks RESP with the caches, the parents and the origin.
+//
+// Parser and Pool are the protocol: they are fed bytes and events and know no socket and no clock. Wire is the
+// driver of one connection. Pool belongs to the gateway's one goroutine.
+package caches
+
+import (
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"poppymill/internal/buffer"
+)
+
+// Bounds on what one answer may hold.
+const (
+	mostParts  = 8
+	mostWord   = 4 << 10
+	mostAnswer = 1 << 20
+	mostLine   = 16
+)
+
+// Reply is one answer as it came: a tag, a word, fields, a body.
+type Reply struct {
+	Tag, Word, Fields string
+	Body              *buffer.Chain
+}
+
+// Parser reads RESP arrays of bulk strings.
+type Parser struct {
+	pool  *buffer.Pool
+	line  []byte // of a length, until its end
+	left  int    // bulk strings to come of this array
+	part  int    // which comes next
+	need  int    // bytes of the present one, with its line end; -1: its length comes first
+	words [3][]byte
+	body  *buffer.Chain
+}
+
+// NewParser makes a parser for a new connection.
+func NewParser(pool *buffer.Pool) *Parser { return &Parser{pool: pool, need: -1} }
+
+// Feed reads bytes, however they are split, and appends what it finds. After an error the connection is of no
+// more use.
+func (p *Parser) Feed(b []byte, found []Reply) ([]Reply, error) {
+	for len(b) > 0 {
+		if p.need < 0 {
+			n, rest, err := p.length(b)
+			if b = rest; err != nil {
+				return found, err
+			}
+			if n < 0 {
+				return found, nil
+			}
+			if p.left == 0 {
+				p.left, p.part = n, 0
+			} else {
+				p.need = n + 2
+			}
+			continue
+		}
+		text := b[:max(0, min(len(b), p.need-2))]
+		switch {
+		case p.part < 3:
+			p.words[p.part] = append(p.words[p.part], text...)
+		case p.part == 3 && len(text) > 0:
+			if p.body == nil {
+				p.body = buffer.NewChain(p.pool)
+			}
+			if !p.body.Append(text) {
+				return found, errors.New("no buffer left for a body")
+			}
+		}
+		b = b[len(text):]
+		p.need -= len(text)
+		for p.need > 0 && p.need <= 2 && len(b) > 0 {
+			if b[0] != "\n\r"[p.need-1] {
+				return found, errors.New("a string does not end where it should")
+			}
+			b = b[1:]
+			p.need--
+		}
+		if p.need > 0 {
+			continue
+		}
+		p.need = -1
+		p.part++
+		if p.left--; p.left > 0 {
+			continue
+		}
+		if p.part < 3 {
+			return found, fmt.Errorf("an answer of %d strings", p.part)
+		}
+		found = append(found, Reply{Tag: string(p.words[0]), Word: string(p.words[1]),
+			Fields: string(p.words[2]), Body: p.body})
+		p.body = nil
+		for i := range p.words {
+			p.words[i] = p.words[i][:0]
+		}
+	}
+	return found, nil
+}
+
+// length reads the line before an array or a string; -1 while it is not whole.
+func (p *Parser) length(b []byte) (int, []byte, error) {
+	for i, c := range b {
+		if c != '\n' {
+			if p.line = append(p.line, c); len(p.line) > mostLine {
+				return 0, nil, errors.New("a length is too long")
+			}
+			continue
+		}
+		sign, most := byte('*'), mostParts
+		if p.left > 0 {
+			if sign, most = '$', mostWord; p.part >= 3 {
+				most = mostAnswer
+			}
+		}
+		text, ok := strings.CutSuffix(string(p.line), "\r")
+		p.line = p.line[:0]
+		if !ok || text == "" || text[0] != sign {
+			return 0, nil, fmt.Errorf("%q in place of a length", text)
+		}
+		n, err := strconv.ParseUint(text[1:], 10, 31)
+		if err != nil || int(n) > most || sign == '*' && n < 3 {
+			return 0, nil, fmt.Errorf("length %q", text)
+		}
+		return int(n), b[i+1:], nil
+	}
+	return -1, nil, nil
+}
+
+// Release lets go of what has come in part.
+func (p *Parser) Release() {
+	p.body.Release()
+	p.body = nil
+}
+
+// field takes one value out of a list name=value,name=value.
+func field(fields, name string) string {
+	for pair := range strings.SplitSeq(fields, ",") {
+		if n, v, ok := strings.Cut(pair, "="); ok && n == name {
+			return v
+		}
+	}
+	return ""
+}
+
+// command writes an array of short strings; where a body of the given length is to follow, it opens
+// that too; -1 is none.
+func command(out []byte, words []string, body int) []byte {
+	n := len(words)
+	if body >= 0 {
+		n++
+	}
+	out = fmt.Appendf(out, "*%d\r\n", n)
+	for _, w := range words {
+		out = fmt.Appendf(out, "$%d\r\n%s\r\n", len(w), w)
+	}
+	if body >= 0 {
+		out = fmt.Appendf(out, "$%d\r\n", body)
+	}
+	if body == 0 {
+		out = append(out, lineEnd...)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/channel/news.go
@@ -0,0 +1,117 @@
+package channel
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"poppymill/router"
+)
+
+// News is one numbered event: a change of the list, or a purge.
+type News struct {
+	Cursor    int64
+	Scope     router.Scope
+	Nodes     []Node
+	Purge     bool
+	Purged    router.Purged // its age is not known before it is told
+	PurgeTime float64       // in Unix ms
+}
+
+// Node is an entry of the list with its address.
+type Node struct {
+	Address string
+	router.Entry
+}
+
+type event struct {
+	Cursor int64 `json:"cursor"`
+	Nodes  *struct {
+		Snapshot  bool `json:"snapshot"`
+		Endpoints []struct {
+			Name    string  `json:"name"`
+			Address string  `json:"address"`
+			Zone    string  `json:"zone"`
+			Type    string  `json:"type"`
+			Group   int64   `json:"group"`
+			Status  string  `json:"status"`
+			Weight  float64 `json:"weight"`
+			Since   float64 `json:"since_ms"`
+		} `json:"endpoints"`
+	} `json:"nodes"`
+	Drop *struct {
+		ID     string  `json:"id"`
+		Family *int64  `json:"family"`
+		When   float64 `json:"when"`
+	} `json:"drop"`
+}
+
+var states = map[string]router.State{
+	"ready": router.Running, "draining": router.Draining, "gone": router.Gone,
+}
+
+// Parse reads the data of one event.
+func Parse(data []byte) (News, error) {
+	var e event
+	if err := json.Unmarshal(data, &e); err != nil {
+		return News{}, err
+	}
+	return e.news()
+}
+
+func (e event) news() (News, error) {
+	n := News{Cursor: e.Cursor}
+	switch {
+	case e.Cursor <= 0:
+		return n, errors.New("cursor is missing")
+	case e.Nodes != nil:
+		if e.Nodes.Snapshot {
+			n.Scope = router.Whole
+		}
+		for _, p := range e.Nodes.Endpoints {
+			state, known := states[p.Status]
+			if !known || p.Name == "" || p.Address == "" && state != router.Gone {
+				return n, fmt.Errorf("node %q is %q at %q", p.Name, p.Status, p.Address)
+			}
+			n.Nodes = append(n.Nodes, Node{Address: p.Address, Entry: router.Entry{Node: p.Name, Kind: p.Type,
+				Zone: p.Zone, State: state, Weight: p.Weight, Cell: p.Group, Booted: p.Since}})
+		}
+	case e.Drop != nil:
+		if e.Drop.ID == "" && e.Drop.Family == nil {
+			return n, errors.New("a purge of nothing")
+		}
+		n.Purge, n.PurgeTime, n.Purged.Object = true, e.Drop.When, e.Drop.ID
+		if e.Drop.Family != nil {
+			n.Purged.Group = *e.Drop.Family
+		}
+	default:
+		return n, errors.New("neither nodes nor drop")
+	}
+	return n, nil
+}
+
+// Known reads what a configuration tells of the channel's past: its last number, and the events to it.
+func Known(data []byte) (int64, []News, error) {
+	var known struct {
+		Cursor *int64  `json:"cursor"`
+		Cmds   []event `json:"cmds"`
+	}
+	if err := json.Unmarshal(data, &known); err != nil {
+		return 0, nil, err
+	}
+	if known.Cursor == nil {
+		return 0, nil, errors.New("cursor is missing")
+	}
+	var all []News
+	for i, e := range known.Cmds {
+		n, err := e.news()
+		if err != nil {
+			return 0, nil, fmt.Errorf("cmds %d: %w", i, err)
+		}
+		if n.Scope == router.Whole {
+			n.Scope = router.Restored
+		}
+		all = append(all, n)
+	}
+	return *known.Cursor, all, nil
+}
--- /dev/null
+++ b/internal/clients/serve.go
@@ -0,0 +1,243 @@
+package clients
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"poppymill/internal/buffer"
+)
+
+// Handler hears of what clients do; it must not block for long, as the connection waits for it.
+type Handler interface {
+	Asked(c *Conn, id uint16, params map[string]string, body *buffer.Chain, at float64)
+	Aborted(c *Conn, id uint16, at float64)
+	Closed(c *Conn, at float64)
+	Malformed(err error)
+}
+
+// Server takes connections.
+type Server struct {
+	Pool    *buffer.Pool
+	Handler Handler
+	Now     func() float64
+	Most    int // connections open at a time
+	open    atomic.Int64
+	mu      sync.Mutex
+	conns   map[*Conn]bool
+	ending  bool
+}
+
+// Serve takes connections until the listener closes, and returns once they all have ended.
+func (s *Server) Serve(ctx context.Context, l net.Listener) error {
+	s.conns = map[*Conn]bool{}
+	var g errgroup.Group
+	for {
+		nc, err := l.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			break
+		}
+		if err != nil { // a shortage of descriptors passes as connections end
+			select {
+			case <-ctx.Done():
+			case <-time.After(10 * time.Millisecond):
+			}
+			continue
+		}
+		if int(s.open.Load()) >= s.Most {
+			nc.Close()
+			s.Handler.Malformed(errors.New("more connections than the descriptors allow"))
+			continue
+		}
+		s.open.Add(1)
+		c := &Conn{server: s, nc: nc, machine: NewMachine(s.Pool), wake: make(chan struct{}, 1)}
+		s.mu.Lock()
+		s.conns[c] = true
+		s.mu.Unlock()
+		g.Go(func() error { c.write(); return nil })
+		g.Go(func() error { c.read(); return nil })
+	}
+	return g.Wait()
+}
+
+// End closes every connection once nothing is open on it and what it was told is written.
+func (s *Server) End() {
+	s.mu.Lock()
+	s.ending = true
+	conns := make([]*Conn, 0, len(s.conns))
+	for c := range s.conns {
+		conns = append(conns, c)
+	}
+	s.mu.Unlock()
+	for _, c := range conns {
+		c.mu.Lock()
+		c.last = true
+		c.mu.Unlock()
+		c.stir()
+	}
+}
+
+// Conn is one client's connection: a goroutine reads, another writes, and neither waits for the other.
+type Conn struct {
+	server  *Server
+	nc      net.Conn
+	mu      sync.Mutex
+	machine *Machine
+	queue   []answer // at most one for each request that may be open, and the protocol's own
+	wake    chan struct{}
+	last    bool // it ends when nothing is open
+	closed  bool
+}
+
+type answer struct {
+	id    uint16
+	reply []byte
+	Answer
+}
+
+const mostQueued = 4 * mostOpen
+
+// Answer hands an answer over; it never blocks. For a connection that is gone it does nothing.
+func (c *Conn) Answer(id uint16, a Answer) {
+	c.mu.Lock()
+	open, once := c.machine.Answered(id)
+	if c.closed || !open { // its machine is released too
+		c.mu.Unlock()
+		a.Body.Release()
+		return
+	}
+	c.last = c.last || once
+	c.queue = append(c.queue, answer{id: id, Answer: a})
+	c.mu.Unlock()
+	c.stir()
+}
+
+func (c *Conn) stir() {
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (c *Conn) read() {
+	defer c.close()
+	b := c.server.Pool.Get()
+	if b == nil {
+		c.server.Handler.Malformed(errPool)
+		return
+	}
+	defer c.server.Pool.Put(b)
+	b = b[:cap(b)]
+	var found []Event
+	for {
+		n, err := c.nc.Read(b)
+		at := c.server.Now()
+		c.mu.Lock()
+		var bad error
+		found, bad = c.machine.Feed(b[:n], found[:0])
+		for _, e := range found {
+			if e.Kind == Reply {
+				c.queue = append(c.queue, answer{reply: e.Reply})
+			}
+		}
+		if len(c.queue) > mostQueued {
+			bad = errors.New("more asked of the protocol than is read of its answers")
+		}
+		c.mu.Unlock()
+		for i, e := range found {
+			switch e.Kind {
+			case Complete:
+				c.server.Handler.Asked(c, e.ID, e.Params, e.Body, at)
+			case Aborted:
+				c.server.Handler.Aborted(c, e.ID, at)
+			case Reply:
+				c.stir()
+			}
+			found[i] = Event{}
+		}
+		if bad != nil {
+			c.server.Handler.Malformed(bad)
+			return
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+// slowest is how long a client may take to read on; then it counts as gone.
+const slowest = 10 * time.Second
+
+func (c *Conn) write() {
+	defer c.nc.Close()
+	var pieces net.Buffers
+	for range c.wake {
+		c.mu.Lock()
+		todo, closed := c.queue, c.closed
+		c.queue = nil
+		finish := c.last && len(c.machine.open) == 0
+		c.mu.Unlock()
+		if closed {
+			release(todo)
+			return
+		}
+		pieces = pieces[:0]
+		for _, a := range todo {
+			if a.reply != nil {
+				pieces = append(pieces, a.reply)
+			} else {
+				pieces = a.encode(a.id, pieces)
+			}
+		}
+		err := c.nc.SetWriteDeadline(time.Now().Add(slowest))
+		if err == nil && len(pieces) > 0 {
+			rest := pieces
+			_, err = rest.WriteTo(c.nc)
+		}
+		clear(pieces)
+		release(todo)
+		if err != nil || finish {
+			return // the reader finds the connection closed and ends it
+		}
+	}
+}
+
+func release(todo []answer) {
+	for _, a := range todo {
+		a.Body.Release()
+	}
+}
+
+func (c *Conn) close() {
+	c.nc.Close()
+	c.mu.Lock()
+	c.closed = true
+	todo := c.queue
+	c.queue = nil
+	c.machine.Release()
+	c.mu.Unlock()
+	release(todo)
+	c.server.open.Add(-1)
+	c.server.mu.Lock()
+	delete(c.server.conns, c)
+	c.server.mu.Unlock()
+	c.stir()
+	c.server.Handler.Closed(c, c.server.Now())
+}
+
+// Open counts the connections there are.
+func (s *Server) Open() int { return int(s.open.Load()) }
+
+// Cut closes every connection at once.
+func (s *Server) Cut() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		c.nc.Close()
+	}
+}
--- /dev/null
+++ b/internal/footprint/config.go
@@ -0,0 +1,150 @@
+package footprint
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+
+	"poppymill/internal/channel"
+	"poppymill/router"
+)
+
+// Config is what one gateway is told at its start.
+type Config struct {
+	Name, Listen, Channel string
+	Seed                  uint64
+	MemoryMB, Sockets     int
+	Cursor                int64
+	Known                 []channel.News
+	Footprint             router.Footprint
+	Types                 []string
+
+	// What the gateway itself goes by; the router is told too where it matters to it.
+	Streams                   int
+	MostPulls                 int
+	Connect, Idle, Slack      float64 // ms
+	Probing, CallOff, Reports bool
+}
+
+type file struct {
+	Name    string `json:"name"`
+	Listen  string `json:"listen"`
+	Seed    string `json:"seed"`
+	Channel string `json:"channel"`
+	Limits  struct {
+		MemoryMB int `json:"memory_mb"`
+		Sockets  int `json:"sockets"`
+	} `json:"limits"`
+	Known    json.RawMessage `json:"known"`
+	Settings json.RawMessage `json:"settings"`
+}
+
+type own struct {
+	Classes []struct {
+		Name string `json:"name"`
+	} `json:"classes"`
+	Permissions struct {
+		Connect float64 `json:"connect_timeout"`
+		Idle    float64 `json:"keepalive"`
+		Streams int     `json:"streams_per_conn"`
+		Most    int     `json:"send_cap"`
+		Probing bool    `json:"probing"`
+		Cancel  bool    `json:"cancel"`
+	} `json:"permissions"`
+	Rules struct {
+		Slack float64 `json:"answer_slack"`
+	} `json:"rules"`
+	Report struct {
+		How string `json:"how"`
+	} `json:"report"`
+}
+
+// Load reads the configuration file; name and listen address may also come from the environment. An error
+// names the field that is wrong.
+func Load(path string, env func(string) string) (*Config, error) {
+	if path == "" {
+		return nil, errors.New("config: no file named (BALANCER_CONFIG)")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("config: %w", err)
+	}
+	return Parse(text, env)
+}
+
+// Parse reads a configuration.
+func Parse(text []byte, env func(string) string) (*Config, error) {
+	var f file
+	if err := json.Unmarshal(text, &f); err != nil {
+		return nil, fmt.Errorf("config: %w", err)
+	}
+	c := &Config{Name: f.Name, Listen: f.Listen, Channel: f.Channel, MemoryMB: f.Limits.MemoryMB,
+		Sockets: f.Limits.Sockets}
+	if c.Name == "" {
+		c.Name = env("BALANCER_NAME")
+	}
+	if c.Listen == "" {
+		c.Listen = env("BALANCER_LISTEN")
+	}
+	if c.Name == "" {
+		return nil, errors.New("name: missing")
+	}
+	if err := address("listen", c.Listen); err != nil {
+		return nil, err
+	}
+	if err := address("channel", c.Channel); err != nil {
+		return nil, err
+	}
+	var err error
+	if c.Seed, err = strconv.ParseUint(f.Seed, 16, 64); err != nil {
+		return nil, fmt.Errorf("seed: %q is not a hexadecimal number of 64 bits", f.Seed)
+	}
+	if c.MemoryMB < 64 {
+		return nil, fmt.Errorf("limits.memory_mb: %d is too little, 64 at least", c.MemoryMB)
+	}
+	if c.Sockets < 64 {
+		return nil, fmt.Errorf("limits.sockets: %d is too few, 64 at least", c.Sockets)
+	}
+	if c.Cursor, c.Known, err = channel.Known(f.Known); err != nil {
+		return nil, fmt.Errorf("known: %w", err)
+	}
+	var s own
+	if err = json.Unmarshal(f.Settings, &s); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	for i, t := range s.Classes {
+		if t.Name == "" {
+			return nil, fmt.Errorf("settings.classes[%d].name: missing", i)
+		}
+		c.Types = append(c.Types, t.Name)
+	}
+	if len(c.Types) == 0 {
+		return nil, errors.New("settings.classes: missing")
+	}
+	p := s.Permissions
+	for _, n := range []struct {
+		name  string
+		value float64
+	}{{"streams_per_conn", float64(p.Streams)}, {"connect_timeout", p.Connect}, {"keepalive", p.Idle},
+		{"send_cap", float64(p.Most)}} {
+		if n.value <= 0 {
+			return nil, fmt.Errorf("settings.permissions.%s: must be above 0", n.name)
+		}
+	}
+	c.Streams, c.Connect, c.Idle, c.MostPulls = p.Streams, p.Connect, p.Idle, p.Most
+	c.Probing, c.CallOff, c.Slack, c.Reports = p.Probing, p.Cancel, s.Rules.Slack, s.Report.How != "none"
+	if c.Footprint, err = Read(f.Settings); err != nil {
+		return nil, err
+	}
+	return c, nil
+}
+
+func address(name, value string) error {
+	if _, port, err := net.SplitHostPort(value); err != nil || port == "" {
+		return fmt.Errorf("%s: %q is not an address with a port", name, value)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/gateway/core.go
@@ -0,0 +1,511 @@
+// Package gateway carries out what its router decides and reports what became of it. Core is the whole of a
+// gateway's state, without socket or clock, and belongs to one goroutine; Serve puts the peers round it.
+package gateway
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/sirupsen/logrus"
+
+	"poppymill/internal/assert"
+	"poppymill/internal/buffer"
+	"poppymill/internal/caches"
+	"poppymill/internal/channel"
+	"poppymill/internal/clients"
+	"poppymill/internal/footprint"
+	"poppymill/router"
+)
+
+// Client is a connection that waits for answers.
+type Client interface {
+	Answer(id uint16, a clients.Answer)
+}
+
+// What the peers post, each with the time at which it happened.
+type (
+	// Asked is a request that has come whole.
+	Asked struct {
+		Client Client
+		ID     uint16
+		Params map[string]string
+		Body   *buffer.Chain
+		At     float64
+	}
+	// Aborted is a request that its client gives up.
+	Aborted struct {
+		Client Client
+		ID     uint16
+		At     float64
+	}
+	// Closed is a client's connection that has ended.
+	Closed struct {
+		Client Client
+		At     float64
+	}
+	// Told is an event of the command channel.
+	Told struct {
+		News channel.News
+		At   float64
+	}
+)
+
+// Counters are what a gateway has seen since its start.
+type Counters struct {
+	Taken, Fulfilled, Kept, Throttled, Abandoned, Left, Refused, Overdue, Pulls, Probes, Panics int
+}
+
+// Core is a gateway without its sockets.
+type Core struct {
+	Counters
+	config    *footprint.Config
+	log       logrus.FieldLogger
+	router    *router.Router
+	pool      *caches.Pool
+	downloads map[string]*download
+	clients   map[Client]map[uint16]*download
+	probes    map[*caches.Pull]bool
+	addresses map[string]string
+	timers    timers
+	tell      []router.Event
+	telling   bool
+	now       float64
+	ending    bool
+}
+
+// download is one that was taken: until its one answer, and then until its last pull has ended.
+type download struct {
+	id, typ, object, mine string
+	client                Client
+	number                uint16 // on the client's connection
+	part                  int64
+	expiry                float64
+	body                  *buffer.Chain
+	pulls                 []*pull
+	out                   int
+	answered              bool
+}
+
+type pull struct {
+	dl   *download
+	n    int
+	wire *caches.Pull // nil once it has ended
+	node string
+	sent float64
+}
+
+// NewCore makes a gateway, tells its router what is known at its start, and is ready then.
+func NewCore(c *footprint.Config, pool *caches.Pool, log logrus.FieldLogger, now float64) *Core {
+	g := &Core{config: c, log: log, router: router.New(), pool: pool, downloads: map[string]*download{},
+		clients: map[Client]map[uint16]*download{}, probes: map[*caches.Pull]bool{},
+		addresses: map[string]string{}, now: now}
+	g.event(router.Started{Seed: c.Seed, Footprint: c.Footprint})
+	for _, n := range c.Known {
+		g.news(n)
+	}
+	g.settle()
+	return g
+}
+
+// Open counts the downloads that are owed an answer.
+func (g *Core) Open() int {
+	n := 0
+	for _, all := range g.clients {
+		n += len(all)
+	}
+	return n
+}
+
+// Handle takes what a peer has posted. What was due before it happened comes before it.
+func (g *Core) Handle(e any) {
+	switch e := e.(type) {
+	case Asked:
+		g.Ring(e.At)
+		g.asked(e)
+	case Aborted:
+		g.Ring(e.At)
+		if d := g.clients[e.Client][e.ID]; d != nil {
+			g.leave(d)
+		}
+		e.Client.Answer(e.ID, clients.Answer{None: true})
+	case Closed:
+		g.Ring(e.At)
+		for id := range 1 << 16 { // numbers are small and this is rare; a map's order must not decide
+			if len(g.clients[e.Client]) == 0 {
+				break
+			}
+			if d := g.clients[e.Client][uint16(id)]; d != nil {
+				g.leave(d)
+			}
+		}
+	case Told:
+		g.Ring(e.At)
+		g.news(e.News)
+	case caches.Up:
+		g.pool.Handle(e)
+	case caches.Answered:
+		g.Ring(e.At)
+		g.pool.Handle(e)
+	case caches.Down:
+		g.Ring(e.At)
+		g.pool.Handle(e)
+	}
+	g.settle()
+}
+
+// Ring does what is due at a time.
+func (g *Core) Ring(now float64) {
+	g.now = max(g.now, now)
+	for len(g.timers) > 0 && g.timers[0].at <= g.now {
+		t := g.timers.pop()
+		switch {
+		case t.pull != nil:
+			if t.pull.wire != nil {
+				g.pool.Drop(t.pull.wire, router.TimedOut, g.now)
+			}
+		case t.probe != nil:
+			if g.probes[t.probe] {
+				g.pool.Drop(t.probe, router.TimedOut, g.now)
+			}
+		case t.dl != nil:
+			if !t.dl.answered {
+				g.overdue(t.dl)
+			}
+		default:
+			g.event(router.Rang{Token: t.token})
+		}
+		g.settle()
+	}
+}
+
+// Next is when something is due next; false where nothing is.
+func (g *Core) Next() (float64, bool) {
+	if len(g.timers) == 0 {
+		return 0, false
+	}
+	return g.timers[0].at, true
+}
+
+// overdue is the net below the router: what it should have answered by now is answered here.
+func (g *Core) overdue(d *download) {
+	assert.That(false, "each download has its answer before its expiry")
+	g.Overdue++
+	g.log.WithField("download", d.id).Error("no answer by its expiry: abandoned")
+	g.answer(d, clients.Answer{Status: 500})
+	g.event(router.Left{ID: d.id})
+}
+
+// End answers all that is still open, as the process is about to be killed.
+func (g *Core) End(now float64) {
+	g.Ring(now)
+	for _, all := range g.clients {
+		for _, d := range all {
+			g.Abandoned++
+			g.answer(d, clients.Answer{Status: 500})
+			g.event(router.Left{ID: d.id})
+		}
+	}
+	g.settle()
+}
+
+func (g *Core) event(e router.Event) { g.tell = append(g.tell, e) }
+
+// settle tells the router all that there is to tell, and what comes of it, until nothing is left.
+func (g *Core) settle() {
+	if g.telling {
+		return
+	}
+	g.telling = true
+	for {
+		for _, e := range g.pool.Ends() {
+			g.ended(e)
+		}
+		if len(g.tell) == 0 {
+			break
+		}
+		e := g.tell[0]
+		g.tell = g.tell[1:]
+		for _, a := range g.decide(e) {
+			g.do(a)
+		}
+	}
+	g.telling = false
+}
+
+// decide is one event to the router. What panics there costs that event alone: its downloads still meet their
+// answer at their expiry.
+func (g *Core) decide(e router.Event) (actions []router.Action) {
+	defer func() {
+		if p := recover(); p != nil {
+			g.Panics++
+			g.log.WithField("event", fmt.Sprintf("%T", e)).Errorf("the router panicked: %v", p)
+			assert.That(false, "the router does not panic")
+		}
+	}()
+	return g.router.Handle(g.now, e)
+}
+
+func (g *Core) do(a router.Action) {
+	switch a := a.(type) {
+	case router.Pull:
+		g.pull(a)
+	case router.Throttle:
+		if d := g.downloads[a.ID]; d != nil && !d.answered {
+			g.Throttled++
+			g.answer(d, clients.Answer{Status: 503, Wait: a.Wait})
+		}
+	case router.Abandon:
+		if d := g.downloads[a.ID]; d != nil && !d.answered {
+			g.Abandoned++
+			g.answer(d, clients.Answer{Status: 500})
+		}
+	case router.CallOff:
+		if d := g.downloads[a.ID]; d != nil && a.Pull < len(d.pulls) && d.pulls[a.Pull].wire != nil {
+			g.pool.Drop(d.pulls[a.Pull].wire, router.CalledOff, g.now)
+		}
+	case router.Probe:
+		g.Probes++
+		q := g.pool.Probe(a.Node, g.now)
+		g.probes[q] = true
+		g.timers.push(timer{at: g.now + g.config.Connect, probe: q})
+	case router.Alarm:
+		g.timers.push(timer{at: a.At, token: a.Token})
+	case router.Watch: // the channel's changes come unasked
+	case router.Log:
+		g.log.Info(a.Text)
+	default:
+		assert.That(false, "every action is carried out")
+	}
+}
+
+func (g *Core) answer(d *download, a clients.Answer) {
+	assert.That(!d.answered, "a download has one answer")
+	d.answered = true
+	d.client.Answer(d.number, a)
+	g.owed(d)
+}
+
+// owed ends what is owed to a client.
+func (g *Core) owed(d *download) {
+	all := g.clients[d.client]
+	if delete(all, d.number); len(all) == 0 {
+		delete(g.clients, d.client)
+	}
+	g.forget(d)
+}
+
+func (g *Core) forget(d *download) {
+	if d.answered && d.out == 0 && g.downloads[d.id] == d {
+		delete(g.downloads, d.id)
+		d.body.Release()
+	}
+}
+
+func (g *Core) leave(d *download) {
+	g.Left++
+	d.answered = true
+	g.owed(d)
+	g.event(router.Left{ID: d.id})
+}
+
+const health = "/_health"
+
+func (g *Core) asked(e Asked) {
+	path := e.Params["SCRIPT_NAME"]
+	if path == health {
+		e.Body.Release()
+		status := 200
+		if g.ending {
+			status = 503
+		}
+		e.Client.Answer(e.ID, clients.Answer{Status: status})
+		return
+	}
+	d, err := g.read(e.Params)
+	if err == nil && g.downloads[d.id] != nil {
+		err = fmt.Errorf("X-Job-Id: %s is open already", d.id)
+	}
+	if err != nil {
+		g.Refused++
+		g.log.WithError(err).Warn("a request can't be read")
+		e.Body.Release()
+		e.Client.Answer(e.ID, clients.Answer{Status: 400})
+		return
+	}
+	g.Taken++
+	d.client, d.number, d.body = e.Client, e.ID, e.Body
+	d.expiry += e.At
+	g.downloads[d.id] = d
+	if g.clients[d.client] == nil {
+		g.clients[d.client] = map[uint16]*download{}
+	}
+	g.clients[d.client][d.number] = d
+	g.timers.push(timer{at: d.expiry + g.config.Slack, dl: d})
+	group, _ := strconv.ParseInt(e.Params["HTTP_X_SHARD"], 10, 64)
+	g.event(router.Arrived{ID: d.id, Type: d.typ, Object: d.object, Expiry: d.expiry, Group: group, Part: d.part})
+}
+
+// read takes a download out of its fields; its expiry still counts from its arrival.
+func (g *Core) read(params map[string]string) (*download, error) {
+	typ, ok := strings.CutPrefix(params["SCRIPT_NAME"], "/invoke/")
+	if !ok || !known(g.config.Types, typ) {
+		return nil, fmt.Errorf("SCRIPT_NAME: %.80q", params["SCRIPT_NAME"])
+	}
+	d := &download{id: params["HTTP_X_JOB_ID"], typ: typ, object: params["HTTP_X_ITEM"], mine: params["HTTP_X_MINE"]}
+	if !hex(d.id) {
+		return nil, fmt.Errorf("X-Job-Id: %.80q", d.id)
+	}
+	if !hex(d.object) {
+		return nil, fmt.Errorf("X-Item: %.80q", d.object)
+	}
+	if d.mine != "" && !hex(d.mine) {
+		return nil, fmt.Errorf("X-Mine: %.80q", d.mine)
+	}
+	allow, err := strconv.ParseFloat(params["HTTP_X_ALLOW_MS"], 64)
+	if err != nil || !(allow >= 0 && allow < 1e9) {
+		return nil, fmt.Errorf("X-Allow-Ms: %.80q", params["HTTP_X_ALLOW_MS"])
+	}
+	d.expiry = allow
+	if d.part, err = strconv.ParseInt(params["HTTP_X_N"], 10, 64); err != nil || d.part < 0 {
+		return nil, fmt.Errorf("X-N: %.80q", params["HTTP_X_N"])
+	}
+	if n, err := strconv.ParseUint(params["HTTP_X_SHARD"], 10, 8); err != nil || n > 255 {
+		return nil, fmt.Errorf("X-Shard: %.80q", params["HTTP_X_SHARD"])
+	}
+	return d, nil
+}
+
+func known(names []string, name string) bool {
+	for _, n := range names {
+		if n == name {
+			return true
+		}
+	}
+	return false
+}
+
+// hex tells whether a word is 16 hex digits, and so harmless among the fields of a command.
+func hex(s string) bool {
+	if len(s) != 16 {
+		return false
+	}
+	for i := range len(s) {
+		if c := s[i]; !(c >= '0' && c <= '9' || c >= 'a' && c <= 'f' || c >= 'A' && c <= 'F') {
+			return false
+		}
+	}
+	return true
+}
+
+func (g *Core) pull(a router.Pull) {
+	d := g.downloads[a.ID]
+	assert.That(d != nil, "a pull is for a download that was taken")
+	if d == nil {
+		return
+	}
+	p := &pull{dl: d, n: len(d.pulls), node: a.Node, sent: g.now}
+	d.pulls = append(d.pulls, p)
+	d.out++
+	until := d.expiry
+	if a.Timeout != 0 {
+		until = min(until, g.now+a.Timeout)
+	}
+	if d.answered || until <= g.now || p.n >= g.config.MostPulls {
+		g.report(p, caches.End{Status: router.NeverSent, At: g.now})
+		return
+	}
+	g.Pulls++
+	p.wire = &caches.Pull{ID: d.id, Node: a.Node, Fields: fields(d, a, until-g.now), Body: d.body, Owner: p}
+	g.timers.push(timer{at: until, pull: p})
+	g.pool.Pull(p.wire, g.now)
+}
+
+func fields(d *download, a router.Pull, wait float64) string {
+	b := fmt.Appendf(nil, "kind=%s,obj=%s,seg=%d,ms=%.0f", d.typ, d.object, d.part, max(1, wait))
+	if a.Source != "" && a.Source != a.Node {
+		b = append(append(b, ",next="...), a.Source...)
+	}
+	if a.Rank > 0 {
+		b = strconv.AppendInt(append(b, ",admit="...), int64(a.Rank), 10)
+	}
+	if a.MaxAge > 0 {
+		b = strconv.AppendInt(append(b, ",agelim="...), max(1, int64(a.MaxAge)), 10)
+	}
+	sep := ",ways="
+	for _, w := range [...]struct {
+		how  router.How
+		word string
+	}{{router.Join, "j"}, {router.OnlyHeld, "h"}, {router.PassParent, "n"}, {router.Renew, "r"}} {
+		if a.How&w.how != 0 {
+			b = append(append(b, sep...), w.word...)
+			sep = "+"
+		}
+	}
+	if d.mine != "" {
+		b = append(append(b, ",cached="...), d.mine...)
+	}
+	return string(b)
+}
+
+func (g *Core) ended(e caches.End) {
+	if e.Probe != "" {
+		delete(g.probes, e.Pull)
+		e.Body.Release()
+		g.event(router.Probed{Node: e.Probe, Status: e.Status, Load: e.Load})
+		return
+	}
+	g.report(e.Pull.Owner.(*pull), e)
+}
+
+// report tells the router how a pull ended; the first that is fulfilled is the client's answer.
+func (g *Core) report(p *pull, e caches.End) {
+	d := p.dl
+	p.wire = nil
+	d.out--
+	if e.Status == router.Fulfilled && !d.answered {
+		g.Fulfilled++
+		if e.Keep {
+			g.Kept++
+		}
+		g.answer(d, clients.Answer{Status: 200, Still: e.Keep, Body: e.Body})
+	} else {
+		e.Body.Release()
+	}
+	g.forget(d)
+	g.event(router.Ended{ID: d.id, Pull: p.n, Status: e.Status, Took: e.At - p.sent, Closed: d.answered,
+		Note: e.Note, Load: e.Load})
+}
+
+func (g *Core) news(n channel.News) {
+	if n.Purge {
+		n.Purged.Age = max(0, g.now-n.PurgeTime)
+		g.event(n.Purged)
+		return
+	}
+	list := router.Listed{Scope: n.Scope}
+	named := map[string]bool{}
+	for _, node := range n.Nodes {
+		list.Entries = append(list.Entries, node.Entry)
+		named[node.Node] = true
+		if node.State == router.Gone {
+			g.gone(node.Node)
+			continue
+		}
+		g.addresses[node.Node] = node.Address
+		g.pool.List(node.Node, node.Address, node.Booted)
+	}
+	if n.Scope != router.Changes {
+		for id := range g.addresses {
+			if !named[id] {
+				g.gone(id)
+			}
+		}
+	}
+	g.event(list)
+}
+
+func (g *Core) gone(id string) {
+	delete(g.addresses, id)
+	g.pool.Gone(id)
+}
--- /dev/null
+++ b/internal/gateway/serve.go
@@ -0,0 +1,187 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"poppymill/internal/assert"
+	"poppymill/internal/buffer"
+	"poppymill/internal/caches"
+	"poppymill/internal/channel"
+	"poppymill/internal/clients"
+	"poppymill/internal/footprint"
+)
+
+// What the protocol gives a gateway that is told to end: for how long clients still come, and by when all that
+// was taken must be answered.
+const (
+	comeFor  = 700 * time.Millisecond
+	answerBy = 3500 * time.Millisecond
+	flushBy  = 150 * time.Millisecond
+)
+
+const (
+	spare      = 24 // descriptors that are no connection: listener, channel, those about to close
+	inboxMost  = 1024
+	countEvery = 10_000.0 // ms between lines of counters
+)
+
+// clock is the one clock of a gateway: monotonic, anchored at the Unix time of its start.
+type clock struct {
+	start time.Time
+	unix  float64
+}
+
+func newClock() clock {
+	now := time.Now()
+	return clock{start: now, unix: float64(now.UnixMicro()) / 1000}
+}
+
+func (c clock) now() float64 { return c.unix + float64(time.Since(c.start))/float64(time.Millisecond) }
+
+// poster is how the peers reach the core.
+type poster struct {
+	inbox chan any
+	done  chan struct{} // nobody reads the inbox any more
+	log   logrus.FieldLogger
+}
+
+func (p *poster) post(e any) {
+	select {
+	case p.inbox <- e:
+	case <-p.done:
+		switch e := e.(type) {
+		case Asked:
+			e.Body.Release()
+		case caches.Answered:
+			e.Reply.Body.Release()
+		}
+	}
+}
+
+func (p *poster) Asked(c *clients.Conn, id uint16, params map[string]string, body *buffer.Chain, at float64) {
+	p.post(Asked{Client: c, ID: id, Params: params, Body: body, At: at})
+}
+func (p *poster) Aborted(c *clients.Conn, id uint16, at float64) {
+	p.post(Aborted{Client: c, ID: id, At: at})
+}
+func (p *poster) Closed(c *clients.Conn, at float64) { p.post(Closed{Client: c, At: at}) }
+func (p *poster) Malformed(err error)                { p.log.WithError(err).Warn("a client's connection is closed") }
+
+// Serve runs a gateway until the context ends, and then until all that it has taken is answered.
+func Serve(ctx context.Context, c *footprint.Config, log logrus.FieldLogger) error {
+	listener, err := net.Listen("tcp", c.Listen)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	clock := newClock()
+	// Two fifths of the memory may be bodies and reads; the rest is the router's tables, stacks and garbage.
+	buffers := buffer.NewPool(c.MemoryMB << 20 / 5 * 2)
+	p := &poster{inbox: make(chan any, inboxMost), done: make(chan struct{}), log: log}
+	fromClients := c.Sockets/3 + 2
+	dialer := &caches.Dialer{Pool: buffers, Now: clock.now, Connect: time.Duration(c.Connect * float64(time.Millisecond)),
+		Post: func(e caches.Event) { p.post(e) }}
+	pool := caches.NewPool(caches.Limits{Streams: c.Streams, Idle: c.Idle, Conns: c.Sockets - fromClients - spare,
+		Reports: c.Reports, Names: footprint.Report}, dialer.Dial)
+	core := NewCore(c, pool, log, clock.now())
+	server := &clients.Server{Pool: buffers, Handler: p, Now: clock.now, Most: fromClients}
+	follower := &channel.Follower{Address: c.Channel, Cursor: c.Cursor,
+		Tell:    func(n channel.News) { p.post(Told{News: n, At: clock.now()}) },
+		Trouble: func(err error) { log.WithError(err).Warn("command channel") }}
+
+	var g errgroup.Group
+	following, unfollow := context.WithCancel(context.Background())
+	defer unfollow()
+	g.Go(func() error { follower.Run(following); return nil })
+	g.Go(func() error { return server.Serve(following, listener) })
+	l := &loop{core: core, pool: pool, poster: p, clock: clock, log: log, buffers: buffers, server: server,
+		listener: listener}
+	log.WithFields(logrus.Fields{"name": c.Name, "listen": c.Listen, "nodes": len(core.addresses)}).Info("ready")
+	l.run(ctx)
+	unfollow()
+	// What the loop was told to answer may still be on its way out.
+	for end := time.Now().Add(flushBy); server.Open() > 0 && time.Now().Before(end); {
+		time.Sleep(2 * time.Millisecond)
+	}
+	server.Cut()
+	pool.Close()
+	close(p.done)
+	err = g.Wait()
+	dialer.Live.Wait()
+	l.count()
+	return err
+}
+
+type loop struct {
+	core     *Core
+	pool     *caches.Pool
+	poster   *poster
+	clock    clock
+	log      logrus.FieldLogger
+	buffers  *buffer.Pool
+	server   *clients.Server
+	listener net.Listener
+	counted  float64
+}
+
+// run empties the inbox and rings what is due, until the gateway is to end and owes nothing.
+func (l *loop) run(ctx context.Context) {
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	stop := ctx.Done()
+	var shut, end <-chan time.Time
+	for {
+		select {
+		case e := <-l.poster.inbox:
+			l.core.Handle(e)
+			continue
+		default:
+		}
+		now := l.clock.now()
+		l.core.Ring(now)
+		if now-l.counted > countEvery {
+			l.counted = now
+			l.pool.Tidy(now)
+			l.count()
+		}
+		if l.core.ending && shut == nil && l.core.Open() == 0 {
+			return
+		}
+		wait := countEvery
+		if at, ok := l.core.Next(); ok {
+			wait = min(wait, at-now)
+		}
+		timer.Reset(time.Duration(wait * float64(time.Millisecond)))
+		select {
+		case e := <-l.poster.inbox:
+			l.core.Handle(e)
+		case <-timer.C:
+		case <-stop:
+			l.log.Info("ending")
+			stop, l.core.ending = nil, true
+			shut, end = time.After(comeFor), time.After(answerBy)
+		case <-shut:
+			shut = nil
+			l.listener.Close()
+			l.server.End()
+		case <-end:
+			l.core.End(l.clock.now())
+		}
+	}
+}
+
+func (l *loop) count() {
+	c, p := l.core.Counters, l.pool
+	l.log.WithFields(logrus.Fields{
+		"taken": c.Taken, "fulfilled": c.Fulfilled, "kept": c.Kept, "throttled": c.Throttled,
+		"abandoned": c.Abandoned, "left": c.Left, "refused": c.Refused, "overdue": c.Overdue,
+		"panics": c.Panics, "pulls": c.Pulls, "probes": c.Probes, "open": l.core.Open(),
+		"conns": p.Conns(), "dialled": p.Dialled, "malformed": p.Malformed, "short": p.Short, "late": p.Late,
+		"buffers": l.buffers.Out(), "broken": assert.Broken(),
+	}).Info("counters")
+}
--- a/internal/nimbus/parse.go
+++ b/internal/nimbus/parse.go
@@ -1,13 +1,13 @@
 package nimbus
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
 	"math"
 	"strconv"
 	"strings"
 
+	"poppymill/internal/footprint"
 	"poppymill/router"
 )
 
@@ -96,19 +96,11 @@
 		if !ok || err != nil || math.IsNaN(n) || math.IsInf(n, 0) {
 			continue
 		}
-		if ours, ok := loadNames[name]; ok {
-			name = ours
-		}
-		load[name] = n
+		load[footprint.Report(name)] = n
 	}
 	return load
 }
 
-var loadNames = map[string]string{
-	"busy_reqs": "held", "pending": "waiting", "cpu_share": "busy", "svc_ms": "took",
-	"served_ps": "fulfilled", "failed_ps": "failed", "x0": "hits", "x1": "link",
-}
-
 var scopes = map[string]router.Scope{
 	"update": router.Changes, "replace": router.Whole, "restored": router.Restored, "unavailable": router.NoList,
 }
@@ -124,7 +116,7 @@
 	case "CREATE":
 		s := router.Started{Seed: f.seed()}
 		var err error
-		s.Footprint, err = footprint(f.rest)
+		s.Footprint, err = footprint.Read([]byte(f.rest))
 		f.fail(err)
 		e = s
 	case "VIEW":
@@ -198,72 +190,3 @@
 	}
 	return l, f.err
 }
-
-// settings names what is handed on: the wire's path on the left, the router's name on the right.
-var settings = [...][2]string{
-	{"azs", "zones"}, {"zone", "zone"}, {"kinds", "kinds"}, {"weights", "weights"},
-	{"replicas_of_me", "gateways"}, {"index", "number"}, {"discovery", "list"}, {"report.how", "reports"},
-	{"classes.name", "types"}, {"classes.promise", "target"}, {"classes.aim_stretch", "stretch"},
-	{"classes.hard_limit", "expiry"}, {"classes.effect", "repeat"}, {"classes.key_scope", "dedupe group"},
-	{"classes.key_ttl", "dedupe window"}, {"classes.worth", "benefit"}, {"classes.late_worth", "late benefit"},
-	{"extra.max_age", "fresh"}, {"extra.grace_for", "grace"}, {"extra.class_write", "writes"},
-	{"extra.class_stale_worth", "old benefit"}, {"extra.bypass_allowed", "direct"}, {"extra.can_join", "join"},
-	{"extra.siblings", "siblings"}, {"extra.detail", "notes"}, {"extra.source_kind", "origin kind"},
-	{"extra.parent_kind", "parent kind"}, {"extra.one_flow_kb_per_s", "flow"},
-	{"extra.seats_by_zone", "gateways by zone"}, {"extra.attached_to", "hub"}, {"extra.pipe_kb_per_s", "links"},
-	{"extra.parent_cold_from", "parent cold share"}, {"extra.upper_cold", "parent cold time"},
-	{"extra.upper_fall_multiple", "parent fall multiple"}, {"extra.purge_settles", "purge settles"},
-	{"extra.heed_within", "purge grace"}, {"extra.origin_stops_at", "origin stops at"},
-	{"extra.origin_fall", "origin fall time"},
-	{"rules.cold_share", "cold share"}, {"rules.cold", "cold time"}, {"rules.fall_multiple", "fall multiple"},
-	{"rules.fall", "fall time"}, {"rules.drain_grace", "drain grace"},
-	{"permissions.send_cap", "most pulls"}, {"permissions.probing", "probes"}, {"permissions.cancel", "call off"},
-	{"permissions.second_copies", "second copies"}, {"permissions.retry_after", "advice"},
-	{"permissions.max_retry_after", "longest advice"}, {"permissions.connect_timeout", "connect time"},
-}
-
-var words = map[string]string{
-	"pure": "retriable", "token": "deduped", "side_effect": "non-retriable", "on_request": "asked",
-}
-
-func footprint(text string) (router.Footprint, error) {
-	var told map[string]any
-	if err := json.Unmarshal([]byte(text), &told); err != nil {
-		return nil, fmt.Errorf("settings: %w", err)
-	}
-	foot := router.Footprint{}
-	for _, s := range settings {
-		var v any = told
-		for name := range strings.SplitSeq(s[0], ".") {
-			v = under(v, name)
-		}
-		if v != nil {
-			foot[s[1]] = v
-		}
-	}
-	return foot, nil
-}
-
-// under takes the named value out of a map, or out of each map of a list.
-func under(v any, name string) any {
-	switch v := v.(type) {
-	case map[string]any:
-		return ours(v[name])
-	case []any:
-		var all []any
-		for _, m := range v {
-			all = append(all, under(m, name))
-		}
-		return all
-	}
-	return nil
-}
-
-func ours(v any) any {
-	if s, ok := v.(string); ok {
-		if w, ok := words[s]; ok {
-			return w
-		}
-	}
-	return v
-}
--- a/router/router.go
+++ b/router/router.go
@@ -776,7 +776,7 @@
 		}
 	case Purged:
 		for _, entry := range h.order {
-			if entry.group == e.Group && (e.Object == "" || entry.key.name == e.Object) {
+			if e.Object == "" && entry.group == e.Group || e.Object != "" && entry.key.name == e.Object {
 				entry.parent = nil
 			}
 		}
