--- a/internal/caches/caches_test.go
+++ b/internal/caches/caches_test.go
@@ -95,8 +95,16 @@
 	closed bool
 }
 
-func (l *line) Send(i *Item) bool { l.queue = append(l.queue, i); return true }
-func (l *line) Close()            { l.closed = true }
+func (l *line) Close() { l.closed = true }
+
+func (l *line) Send(i *Item) bool {
+	if l.closed {
+		i.body.Release()
+		return false
+	}
+	l.queue = append(l.queue, i)
+	return true
+}
 
 func (l *line) Remove(i *Item) bool {
 	for n, q := range l.queue {
@@ -235,6 +243,17 @@
 	expect(t, "idle", fmt.Sprint(b.lines[1].closed, len(b.lines)), "true 3")
 }
 
+// A connection that has ended without being heard of yet is passed over: nothing ran there.
+func TestEndedUnheard(t *testing.T) {
+	b := newBench(9)
+	b.pull("a", 0)
+	b.lines[0].closed = true
+	b.pull("b", 1)
+	expect(t, "connections and ends", fmt.Sprintf("%d %q", len(b.lines), b.ended()), `2 ""`)
+	b.Handle(Down{Wire: b.lines[0], Up: true, At: 2})
+	expect(t, "what was open on it", b.ended(), fmt.Sprintf("a:%d", router.NotConnected))
+}
+
 // A machine that vanished says nothing: whether it is there, a new connection tells.
 func TestSilence(t *testing.T) {
 	b := newBench(9)
--- a/internal/caches/pool.go
+++ b/internal/caches/pool.go
@@ -121,15 +121,16 @@
 
 // Pull sends a pull. Its end comes by Ends, at once where it can't be sent.
 func (p *Pool) Pull(q *Pull, now float64) {
+	p.send(q, command(nil, []string{"GET", q.ID, q.Fields}, q.Body.Len()), now)
+}
+
+// send goes on to another connection where one has ended and its end is not told yet, or is stuck: nothing ran.
+func (p *Pool) send(q *Pull, head []byte, now float64) {
 	l := p.link(q, now)
 	if l == nil {
 		p.end(q, End{Status: router.NotConnected, At: now})
 		return
 	}
-	p.send(l, q, command(nil, []string{"GET", q.ID, q.Fields}, q.Body.Len()), now)
-}
-
-func (p *Pool) send(l *link, q *Pull, head []byte, now float64) {
 	q.link, l.open[q.ID], l.used, q.sent = l, q, now, now
 	q.item = &Item{head: head}
 	if q.Body.Len() > 0 {
@@ -137,7 +138,9 @@
 	}
 	if !l.wire.Send(q.item) {
 		l.retired = true
-		p.end(q, End{Status: router.NotConnected, At: now})
+		delete(l.open, q.ID)
+		p.tidy(l)
+		p.send(q, head, now)
 	}
 }
 
@@ -232,11 +235,7 @@
 	p.tags++
 	q := &Pull{ID: "p" + strconv.Itoa(p.tags), Node: id}
 	p.probes[q.ID] = q
-	if l := p.link(q, now); l == nil {
-		p.end(q, End{Status: router.NotConnected, At: now})
-	} else {
-		p.send(l, q, command(nil, []string{word, q.ID}, -1), now)
-	}
+	p.send(q, command(nil, []string{word, q.ID}, -1), now)
 	return q
 }
 
--- a/internal/clients/fastcgi_test.go
+++ b/internal/clients/fastcgi_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/binary"
 	"fmt"
+	"io"
+	"net"
 	"strings"
 	"testing"
 
@@ -191,3 +194,85 @@
 		t.Errorf("%d are open", len(m.open))
 	}
 }
+
+// pipes is a listener whose connections are pipes: what is not read is not written.
+type pipes struct{ conns chan net.Conn }
+
+func (p pipes) Accept() (net.Conn, error) {
+	if c, ok := <-p.conns; ok {
+		return c, nil
+	}
+	return nil, net.ErrClosed
+}
+func (p pipes) Close() error   { close(p.conns); return nil }
+func (p pipes) Addr() net.Addr { return nil }
+
+type heard struct {
+	asked  chan func(Answer)
+	closed chan *Conn
+	bad    chan error
+}
+
+func (h heard) Asked(c *Conn, id uint16, _ map[string]string, body *buffer.Chain, _ float64) {
+	body.Release()
+	h.asked <- func(a Answer) { c.Answer(id, a) }
+}
+func (h heard) Aborted(*Conn, uint16, float64) {}
+func (h heard) Closed(c *Conn, _ float64)      { h.closed <- c }
+func (h heard) Malformed(err error)            { h.bad <- err }
+func (p pipes) dial() (near net.Conn) {
+	near, far := net.Pipe()
+	p.conns <- far
+	return near
+}
+
+func request(id int, keep byte) []byte {
+	return []byte(begin(id, keep) + rec(4, id, "") + rec(5, id, ""))
+}
+
+// One client that does not read holds up no other; its answers wait in its own queue. Told to end, a server
+// closes what is idle at once and the rest with its last answer; one past its bound is not let in.
+func TestServer(t *testing.T) {
+	bodies, reads := buffer.NewPool(1<<20), buffer.NewPool(1<<20)
+	h := heard{make(chan func(Answer), 9), make(chan *Conn, 9), make(chan error, 9)}
+	s := &Server{Pool: bodies, Reads: reads, Handler: h, Now: func() float64 { return 0 }, Most: 3}
+	l := pipes{make(chan net.Conn)}
+	done := make(chan error)
+	go func() { done <- s.Serve(context.Background(), l) }()
+	answer := func(reply func(Answer)) {
+		body := buffer.NewChain(bodies)
+		body.Append(make([]byte, 100_000))
+		reply(Answer{Status: 200, Body: body})
+	}
+	slow, quick, idle := l.dial(), l.dial(), l.dial()
+	for id := range 3 {
+		slow.Write(request(id+1, 1))
+		answer(<-h.asked)
+	}
+	quick.Write(request(7, 1))
+	answer(<-h.asked)
+	if b, err := io.ReadAll(io.LimitReader(quick, 100_000)); len(b) != 100_000 || err != nil {
+		t.Errorf("%d bytes read beside a slow client, %v", len(b), err)
+	}
+	go io.Copy(io.Discard, quick)
+	over := l.dial()
+	if _, err := over.Read(make([]byte, 1)); err == nil || <-h.bad == nil {
+		t.Error("one connection too many is let in")
+	}
+	quick.Write(request(8, 1))
+	last := <-h.asked
+	s.End()
+	l.Close()
+	if _, err := idle.Read(make([]byte, 1)); err == nil {
+		t.Error("an idle connection stays")
+	}
+	answer(last)
+	for range 2 {
+		<-h.closed // idle, and quick after its last answer
+	}
+	slow.Close()
+	<-h.closed
+	if err := <-done; err != nil || bodies.Out() != 0 || reads.Out() != 0 || s.Open() != 0 {
+		t.Errorf("left over: %d and %d buffers, %d connections, %v", bodies.Out(), reads.Out(), s.Open(), err)
+	}
+}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -84,7 +84,8 @@
 	// Two fifths of the memory may be bodies and reads; the rest is the router's tables, stacks and garbage.
 	buffers, reads := buffer.NewPool(c.MemoryMB<<20/5*2), buffer.NewPool(c.Sockets*buffer.Size)
 	p := &poster{inbox: make(chan any, inboxMost), done: make(chan struct{}), log: log}
-	fromClients := c.Sockets/3 + 2
+	// Clients hold a third at most; a few more are let in, as those that they have just closed still count here.
+	fromClients := c.Sockets/3 + c.Sockets/16
 	dialer := &caches.Dialer{Pool: buffers, Reads: reads, Now: clock.now, Connect: time.Duration(c.Connect * float64(time.Millisecond)),
 		Post: func(e caches.Event) { p.post(e) }}
 	pool := caches.NewPool(caches.Limits{Streams: c.Streams, Idle: c.Idle, Conns: c.Sockets - fromClients - spare,
--- a/router/trouble_test.go
+++ b/router/trouble_test.go
@@ -137,3 +137,27 @@
 		}
 	}
 }
+
+// A channel may tell the purge of an object without its group: that object's entry goes, and no other's of any group.
+func TestPurgeWithoutGroup(t *testing.T) {
+	r := started(foot())
+	get := func(now float64, object string) Pull {
+		a := video(fmt.Sprint(object, now))
+		a.Object, a.Group = object, int64(len(object))-4
+		p := find[Pull](r.Handle(now, a))
+		if len(p) != 1 {
+			t.Fatalf("%s: %+v", object, p)
+		}
+		r.Handle(now+1, Ended{ID: a.ID, Status: Fulfilled, Closed: true, Note: FilledBySource})
+		return p[0]
+	}
+	get(10, "match")
+	get(20, "goal")
+	r.Handle(30, Purged{Object: "match", Age: 5})
+	if p := get(40, "match"); p.Rank != 0 || p.MaxAge <= 0 {
+		t.Errorf("purged: %+v, want no copy kept and none from before", p)
+	}
+	if p := get(50, "goal"); p.Rank == 0 || p.MaxAge != 0 {
+		t.Errorf("not purged: %+v, want a copy kept", p)
+	}
+}
