Word of a drain or purge takes back pulls not yet written; blocked connections end; less collecting

But commands could wait in a connection's queue past a drain's or a purge's grace while it comes up (400 ms at most, against 250 and 500), or come whole after their answer once begun on a connection that takes no more. Now: news of a drain or purge takes back what it names and nobody has begun to write (never ran); a pull given up in the middle of its write on a connection blocked for 10 ms ends that connection; a write may take as long as a connection may take to come up. Harm: other pulls on that connection end as Broken. At the end Serve reads its inbox until the last peer has ended, so that every buffer comes back, and asserts it.

--- a/cmd/poppymill/main.go
+++ b/cmd/poppymill/main.go
@@ -12,6 +12,7 @@
 	"runtime"
 	"runtime/debug"
 	"strconv"
+	"strings"
 	"syscall"
 	"time"
 
@@ -58,7 +59,10 @@
 		return err
 	}
 	runtime.GOMAXPROCS(1)
+	// The limit collects garbage in time whatever the heap has grown by; up to there each collection is only time
+	// taken from the one core.
 	debug.SetMemoryLimit(int64(c.MemoryMB) << 20 / 4 * 3)
+	debug.SetGCPercent(400)
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	return gateway.Serve(ctx, c, logrus.StandardLogger())
@@ -120,17 +124,22 @@
 	return nil
 }
 
-// built tells the revision that the tool chain has put into the binary.
+// built tells what the tool chain has put into the binary: its own version, the revision where it knows one, the
+// build tags, and the libraries.
 func built() string {
 	info, ok := debug.ReadBuildInfo()
 	if !ok {
-		return "unknown"
+		return "of an unknown build"
 	}
-	text := info.GoVersion
+	text := info.Main.Version + " " + info.GoVersion
 	for _, s := range info.Settings {
-		if s.Key == "vcs.revision" || s.Key == "vcs.modified" && s.Value == "true" {
-			text += " " + s.Key[len("vcs."):] + " " + s.Value
+		switch s.Key {
+		case "vcs.revision", "vcs.time", "-tags":
+			text += fmt.Sprintf(" %s=%s", strings.TrimPrefix(s.Key, "-"), s.Value)
 		}
 	}
+	for _, d := range info.Deps {
+		text += fmt.Sprintf("\n%s %s", d.Path, d.Version)
+	}
 	return text
 }
--- a/internal/caches/caches_test.go
+++ b/internal/caches/caches_test.go
@@ -93,9 +93,11 @@
 	queue  []*Item
 	sent   string
 	closed bool
+	stuck  bool
 }
 
-func (l *line) Close() { l.closed = true }
+func (l *line) Stuck() bool { return l.stuck }
+func (l *line) Close()      { l.closed = true }
 
 func (l *line) Send(i *Item) bool {
 	if l.closed {
@@ -254,6 +256,36 @@
 	expect(t, "what was open on it", b.ended(), fmt.Sprintf("a:%d", router.NotConnected))
 }
 
+// Word of a drain or a purge binds what waits on a connection that is slow to come up; what is written goes on.
+func TestWithdraw(t *testing.T) {
+	b := newBench(9)
+	b.List("m", "there:1", 0)
+	b.Pool.Pull(&Pull{ID: "out", Node: "n"}, 0)
+	b.lines[0].write(true)
+	b.Pool.Pull(&Pull{ID: "at", Node: "n"}, 0)
+	b.Pool.Pull(&Pull{ID: "other", Node: "m"}, 0)
+	b.Withdraw(func(q *Pull) bool { return q.Node == "n" }, 1)
+	expect(t, "ended", b.ended(), fmt.Sprintf("at:%d", router.NeverSent))
+	b.lines[0].write(true)
+	b.lines[1].write(true)
+	expect(t, "written", b.lines[0].sent+b.lines[1].sent, bulk("GET", "out", "", "")+bulk("GET", "other", "", ""))
+}
+
+// What is half written on a connection that takes no more can't be taken back, and must not come whole after its
+// download's answer: the connection ends.
+func TestStuck(t *testing.T) {
+	b := newBench(9)
+	b.pull("whole", 0)
+	b.lines[0].write(true)
+	half := b.pull("half", 0)
+	half.item.Take()
+	b.lines[0].queue, b.lines[0].stuck = nil, true
+	b.Drop(half, router.TimedOut, 9)
+	expect(t, "ended and closed", fmt.Sprintf("%s %v", b.ended(), b.lines[0].closed), fmt.Sprintf("half:%d true", router.TimedOut))
+	b.Handle(Down{Wire: b.lines[0], Up: true, At: 10})
+	expect(t, "what else was open", b.ended(), fmt.Sprintf("whole:%d", router.Broken))
+}
+
 // A machine that vanished says nothing: whether it is there, a new connection tells.
 func TestSilence(t *testing.T) {
 	b := newBench(9)
--- a/internal/caches/pool.go
+++ b/internal/caches/pool.go
@@ -58,6 +58,7 @@
 	tags   int
 	ends   []End
 	probes map[string]*Pull // by tag
+	closed bool
 
 	Dialled, Malformed, Short, Late int // counters; Short of descriptors or buffers
 }
@@ -157,7 +158,7 @@
 			return l
 		}
 	}
-	if len(p.links) >= p.limits.Conns && !p.evict() {
+	if p.closed || len(p.links) >= p.limits.Conns && !p.evict() {
 		p.Short++
 		return nil
 	}
@@ -210,6 +211,11 @@
 		if status = router.NeverSent; !l.up {
 			status = router.NotConnected
 		}
+	} else if l.wire.Stuck() && q.item.state.Load() == taken {
+		// It may come whole to the node long after its download's answer, or after word of a drain or a purge: the
+		// connection ends, and what else it had not written proves never to have run.
+		l.retired = true
+		l.wire.Close()
 	} else {
 		l.dropped[q.ID] = true
 		// What says nothing for as long as a pull may take, may be a machine that is no more: whether it still
@@ -226,6 +232,21 @@
 	p.tidy(l)
 }
 
+// Withdraw takes back what still waits to be written, as on a connection that is slow to come up, of the pulls
+// named: word of a drain or a purge binds it too. It never ran, and may go out anew at once.
+func (p *Pool) Withdraw(named func(*Pull) bool, now float64) {
+	for _, name := range slices.Sorted(maps.Keys(p.nodes)) {
+		for _, l := range slices.Clone(p.nodes[name].links) {
+			for _, tag := range slices.Sorted(maps.Keys(l.open)) {
+				if q := l.open[tag]; named(q) && l.wire.Remove(q.item) {
+					p.end(q, End{Status: router.NeverSent, At: now})
+				}
+			}
+			p.tidy(l)
+		}
+	}
+}
+
 // Probe asks how a node is; its end comes by Ends.
 func (p *Pool) Probe(id string, now float64) *Pull {
 	word := "PING"
@@ -370,8 +391,9 @@
 // Conns counts the connections there are.
 func (p *Pool) Conns() int { return len(p.links) }
 
-// Close gives all connections up.
+// Close gives all connections up, for good.
 func (p *Pool) Close() {
+	p.closed = true
 	for w := range p.links {
 		w.Close()
 	}
--- a/internal/caches/wire.go
+++ b/internal/caches/wire.go
@@ -28,6 +28,7 @@
 type Wire interface {
 	Send(*Item) bool   // false: too much waits already
 	Remove(*Item) bool // true: it was not taken yet and never will be
+	Stuck() bool       // the node has not read for longer than any write takes
 	Close()            // gives up all that is open on it
 }
 
@@ -75,7 +76,7 @@
 // Bounds of what waits to be written; past them a node has not read for long.
 const (
 	mostItems = 256
-	stuck     = 5 * time.Second
+	blocked   = 10 * time.Millisecond
 )
 
 type wire struct {
@@ -85,6 +86,7 @@
 	queue  []*Item
 	closed bool
 	wake   chan struct{}
+	since  atomic.Int64    // when the write under way began, in Unix ns; 0: none is
 	ctx    context.Context // ends with the wire
 	cancel context.CancelFunc
 }
@@ -123,6 +125,11 @@
 	return true // a wire that closed let go of it unwritten
 }
 
+func (w *wire) Stuck() bool {
+	since := w.since.Load()
+	return since != 0 && time.Now().UnixNano()-since > int64(blocked)
+}
+
 func (w *wire) Close() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -214,9 +221,13 @@
 		for _, i := range todo {
 			pieces = i.Pieces(pieces)
 		}
-		w.nc.SetWriteDeadline(time.Now().Add(stuck))
+		// A connection that can't take a command in the time in which it must come up counts as down too.
+		now := time.Now()
+		w.nc.SetWriteDeadline(now.Add(w.dialer.Connect))
+		w.since.Store(now.UnixNano())
 		rest := pieces
 		n, err := rest.WriteTo(w.nc)
+		w.since.Store(0)
 		clear(pieces)
 		for _, i := range todo {
 			n -= i.size()
--- a/internal/gateway/core.go
+++ b/internal/gateway/core.go
@@ -73,8 +73,9 @@
 	tell      []router.Event
 	telling   bool
 	now       float64
-	open      int // downloads that are owed an answer
-	ending    bool
+	open      int  // downloads that are owed an answer
+	ending    bool // told to end
+	over      bool // nothing more is taken
 }
 
 // download is one that was taken: until its one answer, and then until its last pull has ended.
@@ -82,7 +83,7 @@
 	id, typ, object, mine string
 	client                Client
 	number                uint16 // on the client's connection
-	part                  int64
+	part, group           int64
 	expiry                float64
 	body                  *buffer.Chain
 	pulls                 []*pull
@@ -91,11 +92,11 @@
 }
 
 type pull struct {
-	dl   *download
-	n    int
-	wire *caches.Pull // nil once it has ended
-	node string
-	sent float64
+	dl           *download
+	n            int
+	wire         *caches.Pull // nil once it has ended
+	node, source string
+	sent         float64
 }
 
 // NewCore makes a gateway, tells its router what is known at its start, and is ready then.
@@ -189,9 +190,10 @@
 	g.event(router.Left{ID: d.id})
 }
 
-// End answers all that is still open, as the process is about to be killed.
+// End answers all that is still open, and turns away what comes after it.
 func (g *Core) End(now float64) {
 	g.Ring(now)
+	g.over = true
 	for _, id := range slices.Sorted(maps.Keys(g.downloads)) {
 		if d := g.downloads[id]; !d.answered {
 			g.Abandoned++
@@ -320,7 +322,7 @@
 	if err == nil && g.downloads[d.id] != nil {
 		err = fmt.Errorf("X-Job-Id: %s is open already", d.id)
 	}
-	if err == nil && g.open >= g.config.MostOpen {
+	if err == nil && (g.open >= g.config.MostOpen || g.over) {
 		g.Turned++
 		e.Body.Release()
 		e.Client.Answer(e.ID, clients.Answer{Status: 503})
@@ -343,8 +345,7 @@
 	}
 	g.clients[d.client][d.number] = d
 	g.timers.push(timer{at: d.expiry + g.config.Slack, dl: d})
-	group, _ := strconv.ParseInt(e.Params["HTTP_X_SHARD"], 10, 64)
-	g.event(router.Arrived{ID: d.id, Type: d.typ, Object: d.object, Expiry: d.expiry, Group: group, Part: d.part})
+	g.event(router.Arrived{ID: d.id, Type: d.typ, Object: d.object, Expiry: d.expiry, Group: d.group, Part: d.part})
 }
 
 // read takes a download out of its fields; its expiry still counts from its arrival.
@@ -371,7 +372,7 @@
 	if d.part, err = strconv.ParseInt(params["HTTP_X_N"], 10, 64); err != nil || d.part < 0 {
 		return nil, fmt.Errorf("X-N: %.80q", params["HTTP_X_N"])
 	}
-	if n, err := strconv.ParseUint(params["HTTP_X_SHARD"], 10, 8); err != nil || n > 255 {
+	if d.group, err = strconv.ParseInt(params["HTTP_X_SHARD"], 10, 64); err != nil || d.group < 0 || d.group > 255 {
 		return nil, fmt.Errorf("X-Shard: %.80q", params["HTTP_X_SHARD"])
 	}
 	return d, nil
@@ -396,7 +397,7 @@
 	if d == nil {
 		return
 	}
-	p := &pull{dl: d, n: len(d.pulls), node: a.Node, sent: g.now}
+	p := &pull{dl: d, n: len(d.pulls), node: a.Node, source: a.Source, sent: g.now}
 	d.pulls = append(d.pulls, p)
 	d.out++
 	until := d.expiry
@@ -474,6 +475,9 @@
 	if n.Purge {
 		n.Purged.Age = max(0, g.now-n.PurgeTime)
 		g.event(n.Purged)
+		g.withdraw(func(p *pull) bool {
+			return n.Purged.Object == p.dl.object || n.Purged.Object == "" && n.Purged.Group == p.dl.group
+		})
 		return
 	}
 	list := router.Listed{Scope: n.Scope}
@@ -485,6 +489,9 @@
 			g.gone(node.Node)
 			continue
 		}
+		if node.State == router.Draining {
+			g.shun(node.Node)
+		}
 		g.addresses[node.Node] = node.Address
 		g.pool.List(node.Node, node.Address, node.Booted)
 	}
@@ -498,7 +505,20 @@
 	g.event(list)
 }
 
+// withdraw takes back pulls that are not yet written; the router hears of it after the news that it is for.
+func (g *Core) withdraw(named func(*pull) bool) {
+	g.pool.Withdraw(func(q *caches.Pull) bool {
+		p, ok := q.Owner.(*pull)
+		return ok && named(p)
+	}, g.now)
+}
+
+func (g *Core) shun(id string) {
+	g.withdraw(func(p *pull) bool { return p.node == id || p.source == id })
+}
+
 func (g *Core) gone(id string) {
+	g.shun(id)
 	delete(g.addresses, id)
 	g.pool.Gone(id)
 }
--- a/internal/gateway/core_test.go
+++ b/internal/gateway/core_test.go
@@ -79,7 +79,8 @@
 	return false
 }
 
-func (l *line) Close() { l.closed = true }
+func (l *line) Stuck() bool { return false }
+func (l *line) Close()      { l.closed = true }
 
 // deliver makes what is queued whole at the node.
 func (l *line) deliver() {
@@ -116,6 +117,7 @@
 	lines   []*line
 	clients []*client
 	asked   map[string]*ask
+	shut    map[string]bool // nodes that were told to drain or to be gone
 	wrong   []string
 }
 
@@ -130,7 +132,7 @@
 }
 
 func newWorld(t *testing.T) *world {
-	w := &world{t: t, buffers: buffer.NewPool(1 << 24), now: 1e12, asked: map[string]*ask{}}
+	w := &world{t: t, buffers: buffer.NewPool(1 << 24), now: 1e12, asked: map[string]*ask{}, shut: map[string]bool{}}
 	c := config(t)
 	names := map[string]string{}
 	for _, n := range c.Known[0].Nodes {
@@ -174,6 +176,11 @@
 		w.fault("%s was never asked", id)
 		return
 	}
+	_, source, _ := strings.Cut(fields, ",next=")
+	source, _, _ = strings.Cut(source, ",")
+	if w.shut[node] || w.shut[source] {
+		w.fault("sent to %s after word of a drain: %s", node, fields)
+	}
 	if a.gets++; a.may && a.typ == "renewal" {
 		w.fault("a write that may have run is sent again: %s", fields)
 	}
@@ -252,6 +259,7 @@
 		known := w.core.config.Known[0].Nodes
 		node := known[r.Intn(len(known))]
 		node.State = router.State(r.Intn(3))
+		w.shut[node.Node] = node.State != router.Running
 		w.core.Handle(Told{News: channel.News{Nodes: []channel.Node{node}}, At: w.now})
 	case n < 85:
 		w.core.Handle(Told{News: channel.News{Purge: true, PurgeTime: w.now - 50,
@@ -348,6 +356,9 @@
 		{"the end of the process, then the answer", func(w *world, l *line) {
 			w.core.End(w.now)
 			w.answer(l, 0, "DONE")
+			if late := w.ask(w.clients[0], "video", 2, 500); w.told(late) != "503" {
+				w.fault("asked after the end and told %q", w.told(late))
+			}
 		}, "500"},
 		{"the connection breaks, a second pull is answered", func(w *world, l *line) {
 			w.end(l)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -45,25 +45,13 @@
 
 func (c clock) now() float64 { return c.unix + float64(time.Since(c.start))/float64(time.Millisecond) }
 
-// poster is how the peers reach the core.
+// poster is how the peers reach the core, which reads until the last of them has ended.
 type poster struct {
 	inbox chan any
-	done  chan struct{} // nobody reads the inbox any more
 	log   logrus.FieldLogger
 }
 
-func (p *poster) post(e any) {
-	select {
-	case p.inbox <- e:
-	case <-p.done:
-		switch e := e.(type) {
-		case Asked:
-			e.Body.Release()
-		case caches.Answered:
-			e.Reply.Body.Release()
-		}
-	}
-}
+func (p *poster) post(e any) { p.inbox <- e }
 
 func (p *poster) Asked(c *clients.Conn, id uint16, params map[string]string, body *buffer.Chain, at float64) {
 	p.post(Asked{Client: c, ID: id, Params: params, Body: body, At: at})
@@ -83,7 +71,7 @@
 	clock := newClock()
 	// Two fifths of the memory may be bodies and reads; the rest is the router's tables, stacks and garbage.
 	buffers, reads := buffer.NewPool(c.MemoryMB<<20/5*2), buffer.NewPool(c.Sockets*buffer.Size)
-	p := &poster{inbox: make(chan any, inboxMost), done: make(chan struct{}), log: log}
+	p := &poster{inbox: make(chan any, inboxMost), log: log}
 	// Clients hold a third at most; a few more are let in, as those that they have just closed still count here.
 	fromClients := c.Sockets/3 + c.Sockets/16
 	dialer := &caches.Dialer{Pool: buffers, Reads: reads, Now: clock.now, Connect: time.Duration(c.Connect * float64(time.Millisecond)),
@@ -105,16 +93,27 @@
 		listener: listener}
 	log.WithFields(logrus.Fields{"name": c.Name, "listen": c.Listen, "nodes": len(core.addresses)}).Info("ready")
 	l.run(ctx)
+	core.End(clock.now())
 	unfollow()
-	// What the loop was told to answer may still be on its way out.
-	for end := time.Now().Add(flushBy); server.Open() > 0 && time.Now().Before(end); {
-		time.Sleep(2 * time.Millisecond)
-	}
-	server.Cut()
 	pool.Close()
-	close(p.done)
-	err = g.Wait()
-	dialer.Live.Wait()
+	ended := make(chan error, 1)
+	go func() {
+		err := g.Wait()
+		dialer.Live.Wait()
+		ended <- err
+	}()
+	cut := time.After(flushBy) // what the loop was told to answer may still be on its way out
+	for over := false; !over || len(p.inbox) > 0; {
+		select {
+		case e := <-p.inbox:
+			core.Handle(e)
+		case <-cut:
+			server.Cut()
+		case err = <-ended:
+			over = true
+		}
+	}
+	assert.That(buffers.Out() == 0 && reads.Out() == 0, "every buffer comes back")
 	l.count()
 	return err
 }
@@ -175,7 +174,7 @@
 			l.listener.Close()
 			l.server.End()
 		case <-end:
-			l.core.End(l.clock.now())
+			return
 		}
 	}
 }
