--- a/cmd/poppymill/main.go
+++ b/cmd/poppymill/main.go
@@ -59,10 +59,7 @@
 		return err
 	}
 	runtime.GOMAXPROCS(1)
-	// The limit collects garbage in time whatever the heap has grown by; up to there each collection is only time
-	// taken from the one core.
 	debug.SetMemoryLimit(int64(c.MemoryMB) << 20 / 4 * 3)
-	debug.SetGCPercent(400)
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	return gateway.Serve(ctx, c, logrus.StandardLogger())
