--- a/cmd/poppymill/main.go
+++ b/cmd/poppymill/main.go
@@ -24,6 +24,13 @@
 	"poppymill/internal/gateway"
 )
 
+// hangups is asked for before anything else is done: a SIGHUP that came first would end the process.
+var hangups = func() <-chan os.Signal {
+	c := make(chan os.Signal, 1)
+	signal.Notify(c, syscall.SIGHUP)
+	return c
+}()
+
 func main() {
 	config := &cli.StringFlag{Name: "config", Usage: "the configuration `FILE`", Sources: cli.EnvVars("BALANCER_CONFIG")}
 	app := &cli.Command{
@@ -54,7 +61,8 @@
 }
 
 func serve(ctx context.Context, cmd *cli.Command) error {
-	c, err := footprint.Load(cmd.String("config"), os.Getenv)
+	load := func() (*footprint.Config, error) { return footprint.Load(cmd.String("config"), os.Getenv) }
+	c, err := load()
 	if err != nil {
 		return err
 	}
@@ -62,7 +70,7 @@
 	debug.SetMemoryLimit(int64(c.MemoryMB) << 20 / 4 * 3)
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	return gateway.Serve(ctx, c, logrus.StandardLogger())
+	return gateway.Serve(ctx, c, gateway.Reloads{Wanted: hangups, Load: load}, logrus.StandardLogger())
 }
 
 func check(_ context.Context, cmd *cli.Command) error {
--- a/example/toy/toy.go
+++ b/example/toy/toy.go
@@ -64,7 +64,25 @@
 }
 
 // Channel is the address of the command channel.
-func (w *World) Channel() string { return w.channel.Addr().String() }
+func (w *World) Channel() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.channel.Addr().String()
+}
+
+// MoveChannel has the command channel listen at another address and no more at the old one; its numbers go on.
+func (w *World) MoveChannel(address string) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	w.mu.Lock()
+	w.channel.Close()
+	w.channel = l
+	w.mu.Unlock()
+	w.serve(l, w.follow)
+	return nil
+}
 
 // Add starts a node; it is in the list from the next call of Known or Publish.
 func (w *World) Add(name, kind, zone, address string) (*Node, error) {
--- a/internal/footprint/config_test.go
+++ b/internal/footprint/config_test.go
@@ -1,7 +1,9 @@
 package footprint
 
 import (
+	"bytes"
 	"encoding/json"
+	"fmt"
 	"os"
 	"strings"
 	"testing"
@@ -56,6 +58,10 @@
 			}
 		}
 	}
+	if small, err := Parse(bytes.Replace(text, []byte(`"memory_mb": 192`), []byte(`"memory_mb": 32`), 1), none); err != nil ||
+		fmt.Sprint(small.Fixed(c), c.Fixed(c)) != "[limits.memory_mb] []" {
+		t.Errorf("32 MB: %v", err)
+	}
 	if _, err := Parse([]byte("{"), none); err == nil {
 		t.Error("half a file: no error")
 	}
--- /dev/null
+++ b/internal/gateway/reload.go
@@ -0,0 +1,53 @@
+package gateway
+
+import (
+	"context"
+	"os"
+	"strings"
+	"sync/atomic"
+
+	"github.com/sirupsen/logrus"
+
+	"poppymill/internal/channel"
+	"poppymill/internal/footprint"
+)
+
+// Reloads tells a running gateway when to read its configuration again, and how.
+type Reloads struct {
+	Wanted <-chan os.Signal
+	Load   func() (*footprint.Config, error)
+}
+
+// reloader takes up what a new configuration changes. It is no part of the core: no download notices.
+type reloader struct {
+	Reloads
+	running       *footprint.Config // as started
+	follower      *channel.Follower
+	log           logrus.FieldLogger
+	done, misread atomic.Int64
+}
+
+// run is over with the context. A signal that came before it, or during a reload, is one more reload after that: the
+// newest file holds in the end.
+func (r *reloader) run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.Wanted:
+		}
+		c, err := r.Load()
+		if err != nil {
+			r.misread.Add(1)
+			r.log.WithError(err).Error("the new configuration can't be used: the old one goes on")
+			continue
+		}
+		r.follower.Move(channel.Place{Address: c.Channel, Known: c.Known})
+		r.done.Add(1)
+		log := r.log.WithField("channel", c.Channel)
+		if fixed := r.running.Fixed(c); len(fixed) > 0 {
+			log = log.WithField("until a restart", strings.Join(fixed, " "))
+		}
+		log.Info("reloaded")
+	}
+}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -64,7 +64,7 @@
 func (p *poster) Malformed(err error)                { p.log.WithError(err).Warn("a client's connection is closed") }
 
 // Serve runs a gateway until the context ends, and then until all that it has taken is answered.
-func Serve(ctx context.Context, c *footprint.Config, log logrus.FieldLogger) error {
+func Serve(ctx context.Context, c *footprint.Config, reloads Reloads, log logrus.FieldLogger) error {
 	listener, err := net.Listen("tcp", c.Listen)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
@@ -89,9 +89,11 @@
 	following, unfollow := context.WithCancel(context.Background())
 	defer unfollow()
 	g.Go(func() error { follower.Run(following); return nil })
+	reload := &reloader{Reloads: reloads, running: c, follower: follower, log: log}
+	g.Go(func() error { reload.run(following); return nil })
 	g.Go(func() error { return server.Serve(following, listener) })
 	l := &loop{core: core, pool: pool, poster: p, clock: clock, log: log, buffers: buffers, server: server,
-		listener: listener}
+		listener: listener, reload: reload}
 	log.WithFields(logrus.Fields{"name": c.Name, "listen": c.Listen, "nodes": len(core.addresses)}).Info("ready")
 	l.run(ctx)
 	core.End(clock.now())
@@ -128,6 +130,7 @@
 	buffers  *buffer.Pool
 	server   *clients.Server
 	listener net.Listener
+	reload   *reloader
 	tidied   float64
 	looks    int
 }
@@ -196,5 +199,6 @@
 		"panics": c.Panics, "pulls": c.Pulls, "probes": c.Probes, "open": l.core.Open(),
 		"conns": p.Conns(), "dialled": p.Dialled, "malformed": p.Malformed, "short": p.Short, "late": p.Late,
 		"buffers": l.buffers.Out(), "broken": assert.Broken(),
+		"reloads": l.reload.done.Load(), "misread": l.reload.misread.Load(), "passed": l.reload.follower.Passed.Load(),
 	}).Info("counters")
 }
