Connections that come to nothing make room; requests are read strictly; one budget for limits

Now the least useful connection goes; none may be silent, half said or unfinished for 2 s, none idle for 5 s (the front closes after 4). Harm: a web server slower than 2 s to send a request loses its connection.

--- a/cmd/poppymill/main.go
+++ b/cmd/poppymill/main.go
@@ -67,7 +67,6 @@
 		return err
 	}
 	runtime.GOMAXPROCS(1)
-	debug.SetMemoryLimit(int64(c.MemoryMB) << 20 / 4 * 3)
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	return gateway.Serve(ctx, c, gateway.Reloads{Wanted: hangups, Load: load}, logrus.StandardLogger())
--- a/internal/buffer/buffer.go
+++ b/internal/buffer/buffer.go
@@ -17,6 +17,7 @@
 	mu   sync.Mutex
 	free [][]byte
 	out  int
+	peak int // of out, since the last Trim
 	most int
 }
 
@@ -31,6 +32,7 @@
 		return nil
 	}
 	p.out++
+	p.peak = max(p.peak, p.out)
 	if n := len(p.free); n > 0 {
 		b := p.free[n-1]
 		p.free = p.free[:n-1]
@@ -49,6 +51,18 @@
 	p.free = append(p.free, b[:0])
 }
 
+// Trim gives back what was not needed since the last one: a burst's buffers must not count against the memory limit
+// for the rest of the day.
+func (p *Pool) Trim() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if keep := max(0, p.peak-p.out); keep < len(p.free) {
+		clear(p.free[keep:])
+		p.free = p.free[:keep]
+	}
+	p.peak = p.out
+}
+
 // Out counts the buffers that are lent now.
 func (p *Pool) Out() int {
 	p.mu.Lock()
--- a/internal/buffer/buffer_test.go
+++ b/internal/buffer/buffer_test.go
@@ -33,3 +33,22 @@
 		t.Error("no chain is no empty body")
 	}
 }
+
+// What a burst needed is given back once it is over; what is in use goes on being lent from what is free.
+func TestTrim(t *testing.T) {
+	p := NewPool(100 * Size)
+	var all [][]byte
+	for range 50 {
+		all = append(all, p.Get())
+	}
+	for _, b := range all {
+		p.Put(b)
+	}
+	if p.Trim(); len(p.free) != 50 {
+		t.Errorf("%d are kept of the 50 just needed", len(p.free))
+	}
+	p.Put(p.Get())
+	if p.Trim(); len(p.free) != 1 {
+		t.Errorf("%d are kept where one is needed", len(p.free))
+	}
+}
--- a/internal/clients/fastcgi.go
+++ b/internal/clients/fastcgi.go
@@ -32,11 +32,11 @@
 	headLen           = 8
 )
 
-// Bounds on what one client can make a gateway hold.
+// Bounds on what one client can make a gateway hold. A write brings mostBody at most.
 const (
 	mostOpen   = 32
 	mostParams = 16 << 10
-	mostBody   = 64 << 10
+	mostBody   = 48_000
 	mostValues = 4 << 10
 )
 
@@ -67,7 +67,8 @@
 	got    int // of the head
 	left   int // of the content
 	pad    int
-	values []byte // content of short records
+	values []byte  // content of short records
+	begun  float64 // when the record under way began
 	open   map[uint16]*incoming
 }
 
@@ -79,6 +80,7 @@
 	short  bool // no buffer was left for its body
 	body   *buffer.Chain
 	size   int
+	begun  float64
 }
 
 // NewMachine makes a machine for a new connection, one of at most so many.
@@ -86,10 +88,13 @@
 	return &Machine{pool: pool, conns: conns, open: map[uint16]*incoming{}}
 }
 
-// Feed reads bytes, however they are split, and appends what it finds. After an error the connection is of no
-// more use.
-func (m *Machine) Feed(p []byte, found []Event) ([]Event, error) {
+// Feed reads bytes that have come at a time, however they are split, and appends what it finds. After an error the
+// connection is of no more use.
+func (m *Machine) Feed(p []byte, at float64, found []Event) ([]Event, error) {
 	for {
+		if m.got == 0 {
+			m.begun = at
+		}
 		if m.got < headLen {
 			n := copy(m.head[m.got:], p)
 			m.got += n
@@ -122,7 +127,7 @@
 		}
 		m.got = 0
 		var err error
-		if found, err = m.record(found); err != nil {
+		if found, err = m.record(at, found); err != nil {
 			return found, err
 		}
 	}
@@ -159,7 +164,28 @@
 	return nil
 }
 
-func (m *Machine) record(found []Event) ([]Event, error) {
+// Unfinished tells since when something has been under way that has not come whole, a record or a request.
+func (m *Machine) Unfinished() (since float64, any bool) {
+	since, any = m.begun, m.got > 0
+	for _, r := range m.open {
+		if !r.whole && (!any || r.begun < since) {
+			since, any = r.begun, true
+		}
+	}
+	return since, any
+}
+
+// Whole counts the requests that have come whole and wait for their answer.
+func (m *Machine) Whole() (n int) {
+	for _, r := range m.open {
+		if r.whole {
+			n++
+		}
+	}
+	return n
+}
+
+func (m *Machine) record(at float64, found []Event) ([]Event, error) {
 	id, empty := m.id(), binary.BigEndian.Uint16(m.head[4:]) == 0
 	if id == 0 {
 		if m.head[1] == typeValues {
@@ -181,7 +207,7 @@
 		case len(m.open) >= mostOpen:
 			return append(found, Event{Kind: Reply, Reply: end(nil, id, statusOverloaded)}), nil
 		}
-		m.open[id] = &incoming{once: m.values[2]&flagKeep == 0}
+		m.open[id] = &incoming{once: m.values[2]&flagKeep == 0, begun: at}
 	case typeAbort:
 		if r == nil {
 			return found, nil
@@ -260,7 +286,7 @@
 		if name < 0 || value < 0 || name+value > len(p) {
 			return nil, errors.New("a param reaches past the end")
 		}
-		if all || string(p[:name]) == "SCRIPT_NAME" || strings.HasPrefix(string(p[:name]), "HTTP_X_") {
+		if all || string(p[:name]) == "SCRIPT_NAME" || string(p[:name]) == "CONTENT_LENGTH" || strings.HasPrefix(string(p[:name]), "HTTP_X_") {
 			found[string(p[:name])] = string(p[name : name+value])
 		}
 		p = p[name+value:]
--- a/internal/clients/serve.go
+++ b/internal/clients/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -27,17 +28,38 @@
 	Reads   *buffer.Pool // for reading; one for each connection
 	Handler Handler
 	Now     func() float64
-	Most    int // connections open at a time
+	Most    int          // connections open at a time
+	Shed    atomic.Int64 // connections closed for saying too little, or to make room
 	open    atomic.Int64
 	mu      sync.Mutex
 	conns   map[*Conn]bool
-	ending  bool
 }
 
+// What a client is given before its connection counts as of no use, in ms: to come to its point (it is owed an end
+// within 3 s, whatever it does), and to ask again (the front's own close after 4 s).
+const (
+	pointWithin = 2000.0
+	askAgain    = 5000.0
+	sweepEvery  = 250 * time.Millisecond
+)
+
 // Serve takes connections until the listener closes, and returns once they all have ended.
 func (s *Server) Serve(ctx context.Context, l net.Listener) error {
 	s.conns = map[*Conn]bool{}
 	var g errgroup.Group
+	over, swept := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(swept)
+		for tick := time.NewTicker(sweepEvery); ; {
+			select {
+			case <-over:
+				tick.Stop()
+				return
+			case <-tick.C:
+				s.sweep(s.Now())
+			}
+		}
+	}()
 	for {
 		nc, err := l.Accept()
 		if errors.Is(err, net.ErrClosed) {
@@ -50,26 +72,88 @@
 			}
 			continue
 		}
-		if int(s.open.Load()) >= s.Most {
+		if !s.room() {
 			nc.Close()
 			s.Handler.Malformed(errors.New("more connections than the descriptors allow"))
 			continue
 		}
 		s.open.Add(1)
-		c := &Conn{server: s, nc: nc, machine: NewMachine(s.Pool, s.Most), wake: make(chan struct{}, 1)}
+		now := s.Now()
+		c := &Conn{server: s, nc: nc, machine: NewMachine(s.Pool, s.Most), wake: make(chan struct{}, 1), since: now}
 		s.mu.Lock()
 		s.conns[c] = true
 		s.mu.Unlock()
 		g.Go(func() error { c.write(); return nil })
 		g.Go(func() error { c.read(); return nil })
 	}
-	return g.Wait()
+	err := g.Wait()
+	close(over)
+	<-swept
+	return err
+}
+
+// room finds a place for a newcomer, which most likely is about to ask: the least useful connection without a whole
+// request goes for it, one that never asked anything that could be used before one that did, then the longest idle.
+// What comes in a flood may not have been read yet, so the readers get their turn first.
+func (s *Server) room() bool {
+	s.mu.Lock()
+	full := len(s.conns) >= s.Most
+	s.mu.Unlock()
+	if !full {
+		return true
+	}
+	runtime.Gosched()
+	s.mu.Lock()
+	var least *Conn
+	useful, since := true, 0.0
+	for c := range s.conns {
+		c.mu.Lock()
+		if c.idle() && (least == nil || useful && !c.useful ||
+			useful == c.useful && c.since < since) {
+			least, useful, since = c, c.useful, c.since
+		}
+		c.mu.Unlock()
+	}
+	full = len(s.conns) >= s.Most
+	if full && least != nil {
+		delete(s.conns, least)
+	}
+	s.mu.Unlock()
+	if !full {
+		return true
+	}
+	if least == nil {
+		return false
+	}
+	s.Shed.Add(1)
+	least.nc.Close()
+	return true
+}
+
+// sweep closes what doesn't come to its point, and what has asked once and keeps its place. A web server that is
+// slower than that to send a request loses its connection; it asks again on another.
+func (s *Server) sweep(now float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		c.mu.Lock()
+		begun, unfinished := c.machine.Unfinished()
+		over := unfinished && now-begun > pointWithin
+		if c.idle() {
+			over = over || !c.useful && now-c.since > pointWithin || now-c.since > askAgain
+		}
+		c.mu.Unlock()
+		if over {
+			s.Shed.Add(1)
+			delete(s.conns, c)
+			c.nc.Close()
+		}
+	}
 }
 
 // End closes every connection once nothing is open on it and what it was told is written.
 func (s *Server) End() {
 	s.mu.Lock()
-	s.ending = true
 	conns := make([]*Conn, 0, len(s.conns))
 	for c := range s.conns {
 		conns = append(conns, c)
@@ -93,6 +177,9 @@
 	wake    chan struct{}
 	last    bool // it ends when nothing is open
 	closed  bool
+	writing bool
+	useful  bool    // it has asked for something that could be read
+	since   float64 // when it came, or was last answered
 }
 
 type answer struct {
@@ -101,6 +188,9 @@
 	Answer
 }
 
+// idle tells that nothing is open on it and nothing is to be written.
+func (c *Conn) idle() bool { return c.machine.Whole() == 0 && len(c.queue) == 0 && !c.writing }
+
 const mostQueued = 4 * mostOpen
 
 // Answer hands an answer over; it never blocks. For a connection that is gone it does nothing.
@@ -113,6 +203,8 @@
 		return
 	}
 	c.last = c.last || once
+	// One whose requests can't be read is no more than one that says nothing.
+	c.useful, c.since = c.useful || a.Status != 400, c.server.Now()
 	c.queue = append(c.queue, answer{id: id, Answer: a})
 	c.mu.Unlock()
 	c.stir()
@@ -140,7 +232,7 @@
 		at := c.server.Now()
 		c.mu.Lock()
 		var bad error
-		found, bad = c.machine.Feed(b[:n], found[:0])
+		found, bad = c.machine.Feed(b[:n], at, found[:0])
 		for _, e := range found {
 			if e.Kind == Reply {
 				c.queue = append(c.queue, answer{reply: e.Reply})
@@ -181,7 +273,7 @@
 	for range c.wake {
 		c.mu.Lock()
 		todo, closed := c.queue, c.closed
-		c.queue = nil
+		c.queue, c.writing = nil, len(c.queue) > 0
 		finish := c.last && len(c.machine.open) == 0
 		c.mu.Unlock()
 		if closed {
@@ -207,6 +299,9 @@
 		}
 		clear(pieces)
 		release(todo)
+		c.mu.Lock()
+		c.writing = false
+		c.mu.Unlock()
 		if err != nil || finish {
 			return // the reader finds the connection closed and ends it
 		}
--- a/internal/footprint/config.go
+++ b/internal/footprint/config.go
@@ -13,6 +13,13 @@
 	"poppymill/router"
 )
 
+// Type is what may be asked of a content type.
+type Type struct {
+	Name          string
+	Expiry        float64 // ms, the longest
+	Parts, Bodies bool    // there are more parts than the first; a request may bring a body
+}
+
 // Config is what one gateway is told at its start.
 type Config struct {
 	Name, Listen, Channel string
@@ -21,12 +28,13 @@
 	Cursor                int64
 	Known                 []channel.News
 	Footprint             router.Footprint
-	Types                 []string
+	Types                 []Type
 
 	// What the gateway itself goes by; the router is told too where it matters to it.
 	Streams                   int
 	MostPulls, MostOpen       int
 	Connect, Idle, Slack      float64 // ms
+	Advice                    float64 // ms that a client turned away may be told to stay away; 0: nothing may be said
 	Probing, CallOff, Reports bool
 
 	settings []byte // as they came
@@ -61,8 +69,13 @@
 
 type own struct {
 	Classes []struct {
-		Name string `json:"name"`
+		Name  string  `json:"name"`
+		Limit float64 `json:"hard_limit"`
 	} `json:"classes"`
+	Extra struct {
+		Pieces []bool `json:"in_pieces"`
+		Writes []bool `json:"class_write"`
+	} `json:"extra"`
 	Permissions struct {
 		Connect float64 `json:"connect_timeout"`
 		Idle    float64 `json:"keepalive"`
@@ -71,6 +84,8 @@
 		Open    int     `json:"max_open"`
 		Probing bool    `json:"probing"`
 		Cancel  bool    `json:"cancel"`
+		Advice  bool    `json:"retry_after"`
+		Longest float64 `json:"max_retry_after"`
 	} `json:"permissions"`
 	Rules struct {
 		Slack float64 `json:"answer_slack"`
@@ -137,7 +152,12 @@
 		if t.Name == "" {
 			return nil, fmt.Errorf("settings.classes[%d].name: missing", i)
 		}
-		c.Types = append(c.Types, t.Name)
+		if t.Limit <= 0 {
+			return nil, fmt.Errorf("settings.classes[%d].hard_limit: must be above 0", i)
+		}
+		// What the settings don't tell is left to the caches.
+		c.Types = append(c.Types, Type{Name: t.Name, Expiry: t.Limit, Parts: i >= len(s.Extra.Pieces) || s.Extra.Pieces[i],
+			Bodies: i >= len(s.Extra.Writes) || s.Extra.Writes[i]})
 	}
 	if len(c.Types) == 0 {
 		return nil, errors.New("settings.classes: missing")
@@ -153,7 +173,9 @@
 		}
 	}
 	c.Streams, c.Connect, c.Idle, c.MostPulls = p.Streams, p.Connect, p.Idle, p.Most
-	c.MostOpen = p.Open
+	if c.MostOpen = p.Open; p.Advice {
+		c.Advice = p.Longest
+	}
 	c.Probing, c.CallOff, c.Slack, c.Reports = p.Probing, p.Cancel, s.Rules.Slack, s.Report.How != "none"
 	if c.Footprint, err = Read(f.Settings); err != nil {
 		return nil, err
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"runtime"
+	"runtime/debug"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -18,16 +19,24 @@
 	"poppymill/internal/footprint"
 )
 
-// What the protocol gives a gateway that is told to end: for how long clients still come, and by when all that
-// was taken must be answered.
+// What the protocol gives a gateway that is told to end: for how long clients still come, and how long the last of
+// them may wait; it is killed no sooner than both together, and needs some of that to write.
 const (
-	comeFor  = 700 * time.Millisecond
-	answerBy = 3500 * time.Millisecond
-	flushBy  = 150 * time.Millisecond
+	comeFor     = 700 * time.Millisecond
+	longestWait = 3000.0 // ms
+	flushBy     = 150 * time.Millisecond
 )
 
+// answerBy is when all that was taken is answered, as counted from the word to end.
+func answerBy(c *footprint.Config) time.Duration {
+	longest := 0.0
+	for _, t := range c.Types {
+		longest = max(longest, t.Expiry)
+	}
+	return comeFor + time.Duration(min(longest, longestWait)*float64(time.Millisecond)) - flushBy - flushBy/3
+}
+
 const (
-	spare      = 24 // descriptors that are no connection: listener, channel, those about to close
 	inboxMost  = 1024
 	tidyEvery  = 1000.0 // ms between looks for idle connections
 	countEvery = 10     // of those between lines of counters
@@ -48,8 +57,9 @@
 
 // poster is how the peers reach the core, which reads until the last of them has ended.
 type poster struct {
-	inbox chan any
-	log   logrus.FieldLogger
+	inbox  chan any
+	scarce *scarce
+	now    func() float64
 }
 
 func (p *poster) post(e any) { p.inbox <- e }
@@ -61,7 +71,9 @@
 	p.post(Aborted{Client: c, ID: id, At: at})
 }
 func (p *poster) Closed(c *clients.Conn, at float64) { p.post(Closed{Client: c, At: at}) }
-func (p *poster) Malformed(err error)                { p.log.WithError(err).Warn("a client's connection is closed") }
+func (p *poster) Malformed(err error) {
+	p.scarce.Warn(p.now(), "a client's connection is closed", err)
+}
 
 // Serve runs a gateway until the context ends, and then until all that it has taken is answered.
 func Serve(ctx context.Context, c *footprint.Config, reloads Reloads, log logrus.FieldLogger) error {
@@ -70,20 +82,20 @@
 		return fmt.Errorf("listen: %w", err)
 	}
 	clock := newClock()
-	// Two fifths of the memory may be bodies and reads; the rest is the router's tables, stacks and garbage.
-	buffers, reads := buffer.NewPool(c.MemoryMB<<20/5*2), buffer.NewPool(c.Sockets*buffer.Size)
-	p := &poster{inbox: make(chan any, inboxMost), log: log}
-	// Clients hold a third at most; a few more are let in, as those that they have just closed still count here.
-	fromClients := c.Sockets/3 + c.Sockets/16
+	budget := Share(c)
+	debug.SetMemoryLimit(int64(budget.Heap))
+	buffers, reads := buffer.NewPool(budget.Bodies), buffer.NewPool(budget.Reads)
+	p := &poster{inbox: make(chan any, inboxMost), scarce: &scarce{log: log}, now: clock.now}
 	dialer := &caches.Dialer{Pool: buffers, Reads: reads, Now: clock.now, Connect: time.Duration(c.Connect * float64(time.Millisecond)),
 		Post: func(e caches.Event) { p.post(e) }}
-	pool := caches.NewPool(caches.Limits{Streams: c.Streams, Idle: c.Idle, Conns: c.Sockets - fromClients - spare,
+	pool := caches.NewPool(caches.Limits{Streams: c.Streams, Idle: c.Idle, Conns: budget.Caches,
 		Reports: c.Reports, Names: footprint.Report}, dialer.Dial)
 	core := NewCore(c, pool, log, clock.now())
-	server := &clients.Server{Pool: buffers, Reads: reads, Handler: p, Now: clock.now, Most: fromClients}
+	server := &clients.Server{Pool: buffers, Reads: reads, Handler: p, Now: clock.now, Most: budget.Clients}
+	troubles := &scarce{log: log}
 	follower := &channel.Follower{Address: c.Channel, Cursor: c.Cursor,
 		Tell:    func(n channel.News) { p.post(Told{News: n, At: clock.now()}) },
-		Trouble: func(err error) { log.WithError(err).Warn("command channel") }}
+		Trouble: func(err error) { troubles.Warn(clock.now(), "command channel", err) }}
 
 	var g errgroup.Group
 	following, unfollow := context.WithCancel(context.Background())
@@ -92,7 +104,7 @@
 	reload := &reloader{Reloads: reloads, running: c, follower: follower, log: log}
 	g.Go(func() error { reload.run(following); return nil })
 	g.Go(func() error { return server.Serve(following, listener) })
-	l := &loop{core: core, pool: pool, poster: p, clock: clock, log: log, buffers: buffers, server: server,
+	l := &loop{core: core, pool: pool, poster: p, clock: clock, log: log, buffers: buffers, reads: reads, server: server,
 		listener: listener, reload: reload}
 	log.WithFields(logrus.Fields{"name": c.Name, "listen": c.Listen, "nodes": len(core.addresses)}).Info("ready")
 	l.run(ctx)
@@ -128,6 +140,7 @@
 	clock    clock
 	log      logrus.FieldLogger
 	buffers  *buffer.Pool
+	reads    *buffer.Pool
 	server   *clients.Server
 	listener net.Listener
 	reload   *reloader
@@ -155,6 +168,8 @@
 			l.tidied = now
 			l.pool.Tidy(now)
 			if l.looks++; l.looks%countEvery == 0 {
+				l.buffers.Trim()
+				l.reads.Trim()
 				l.count()
 			}
 		}
@@ -180,7 +195,7 @@
 		case <-stop:
 			l.log.Info("ending")
 			stop, l.core.ending = nil, true
-			shut, end = time.After(comeFor), time.After(answerBy)
+			shut, end = time.After(comeFor), time.After(answerBy(l.core.config))
 		case <-shut:
 			shut = nil
 			l.listener.Close()
@@ -199,6 +214,7 @@
 		"panics": c.Panics, "pulls": c.Pulls, "probes": c.Probes, "open": l.core.Open(),
 		"conns": p.Conns(), "dialled": p.Dialled, "malformed": p.Malformed, "short": p.Short, "late": p.Late,
 		"buffers": l.buffers.Out(), "broken": assert.Broken(),
+		"shed":    l.server.Shed.Load(),
 		"reloads": l.reload.done.Load(), "misread": l.reload.misread.Load(), "passed": l.reload.follower.Passed.Load(),
 	}).Info("counters")
 }
