Pulls are spread over connections; what is spoilt or mute ends as a whole, at once

Now: the least busy connection, new ones up to half of a node's part of the limit; an answer without what it must bring ends its connection; a connection that stops amid an answer, or leaves a question unanswered, is given up whole; pulls of one download never share a connection; shortage of connections is no node's doing; nodes that are gone are forgotten; timers leave with what they are for.

--- a/internal/caches/caches_test.go
+++ b/internal/caches/caches_test.go
@@ -26,8 +26,10 @@
 	{"two answers", bulk("a", "DONE", "res=warm,t0=5", big) + bulk("b", "LACK", "-", ""),
 		fmt.Sprintf("a DONE res=warm,t0=5 %q; b LACK - \"\"", big), ""},
 	{"no body", bulk("p1", "FIT", "-"), `p1 FIT - ""`, ""},
-	{"a string more", bulk("a", "DONE", "-", "x", "later"), `a DONE - "x"`, ""},
-	{"too large a body", bulk("a", "DONE", "-", strings.Repeat("x", 4*buffer.Size)) + bulk("b", "WAIT", "-", ""),
+	{"a string more", bulk("a", "DONE", "-", "x", "later"), "", `length "*5"`},
+	{"3 GB", "*4\r\n$1\r\na\r\n$4\r\nDONE\r\n$1\r\n-\r\n$3000000000\r\n", "", `length "$3000000000"`},
+	{"more than an object", "*4\r\n$1\r\na\r\n$4\r\nDONE\r\n$1\r\n-\r\n$240001\r\n", "", `length "$240001"`},
+	{"more than there are buffers for", bulk("a", "DONE", "-", strings.Repeat("x", 4*buffer.Size)) + bulk("b", "WAIT", "-", ""),
 		`a DONE - short; b WAIT - ""`, ""},
 	{"two strings", bulk("a", "DONE"), "", `length "*2"`},
 	{"nine strings", bulk("1", "2", "3", "4", "5", "6", "7", "8", "9"), "", `length "*9"`},
@@ -94,8 +96,12 @@
 	sent   string
 	closed bool
 	stuck  bool
+	heard  float64
+	amid   bool
 }
 
+func (l *line) Heard() (float64, bool) { return l.heard, l.amid }
+
 func (l *line) Stuck() bool { return l.stuck }
 func (l *line) Close()      { l.closed = true }
 
@@ -138,7 +144,7 @@
 
 func newBench(conns int) *bench {
 	b := &bench{}
-	b.Pool = NewPool(Limits{Streams: 2, Idle: 1000, Conns: conns, Names: strings.ToUpper}, func(address string) Wire {
+	b.Pool = NewPool(Limits{Streams: 2, Idle: 1000, Conns: conns, Answer: 400, Checks: true, Names: strings.ToUpper}, func(address string) Wire {
 		b.lines, b.at = append(b.lines, &line{}), append(b.at, address)
 		return b.lines[len(b.lines)-1]
 	})
@@ -174,21 +180,22 @@
 // A status must prove what it claims: a write is repeated on the strength of it.
 func TestStatuses(t *testing.T) {
 	for word, want := range map[string]router.Status{"DONE": router.Fulfilled, "LACK": router.Missed,
-		"WAIT": router.TurnedAway, "BROKE": router.Failed, "PAST": router.NeverSent, "ODD": router.Failed,
-		"KEEP": router.Failed, "FIT": router.Failed} {
+		"WAIT": router.TurnedAway, "BROKE": router.Failed, "PAST": router.NeverSent, "ODD": router.Broken,
+		"KEEP": router.Broken, "FIT": router.Broken} {
 		b := newBench(9)
 		b.pull("a", 0)
 		b.lines[0].write(true)
 		b.answer(0, "a", word, "-", 1)
 		expect(t, word, b.ended(), fmt.Sprintf("a:%d", want))
+		expect(t, word+" ends its connection", b.lines[0].closed, want == router.Broken)
 	}
-	b := newBench(9)
+	b := newBench(2)
 	b.pull("whole", 0)
 	b.lines[0].write(true)
 	b.pull("part", 0)
 	b.lines[0].write(false)
 	b.Handle(Down{Wire: b.lines[0], Up: true, At: 1})
-	expect(t, "a broken connection", b.ended(), fmt.Sprintf("part:%d whole:%d", router.NotConnected, router.Broken))
+	expect(t, "a broken connection", b.ended(), fmt.Sprintf("part:%d whole:%d", router.NeverSent, router.Broken))
 	q := b.pull("queued", 2)
 	b.Drop(q, router.TimedOut, 3)
 	expect(t, "time-out before the connection is up", b.ended(), fmt.Sprintf("queued:%d", router.NotConnected))
@@ -201,6 +208,8 @@
 	expect(t, "written", b.lines[1].sent, bulk("GET", "out", "kind=k", "")+bulk("DROP", "out"))
 }
 
+// A later pull of a download goes by another connection than any before it, as nobody could tell their answers apart:
+// a late one, or a second copy of one that said it never ran.
 func TestLateAnswer(t *testing.T) {
 	b := newBench(9)
 	q := b.pull("a", 0)
@@ -208,23 +217,80 @@
 	b.Drop(q, router.CalledOff, 1)
 	b.ended()
 	b.pull("a", 2)
-	expect(t, "connections, as nobody could tell the two answers apart", len(b.lines), 2)
+	expect(t, "connections", len(b.lines), 2)
 	b.answer(0, "a", "DONE", "-", 3)
 	expect(t, "ended by the late answer", b.ended(), "")
 	expect(t, "closed by it", b.lines[0].closed, false)
 	b.answer(1, "a", "DONE", "-", 4)
 	expect(t, "ended", b.ended(), "a:0")
+
+	for _, word := range []string{"LACK", "WAIT", "PAST"} {
+		b = newBench(9)
+		first := b.pull("a", 0)
+		b.lines[0].write(true)
+		b.answer(0, "a", word, "-", 1)
+		for i := range 2 * mostPast { // longer than a connection remembers
+			id := fmt.Sprint("other", i)
+			b.pull(id, 1)
+			b.lines[0].write(true)
+			b.answer(0, id, "DONE", "-", 1)
+		}
+		b.ended()
+		b.Pool.Pull(&Pull{ID: "a", Node: "n", Before: first}, 2)
+		b.lines[1].write(true)
+		b.answer(0, "a", word, "-", 3)
+		expect(t, "ended by a second "+word, b.ended(), "")
+		b.answer(0, "never asked", "DONE", "-", 3)
+		b.answer(1, "a", "DONE", "-", 4)
+		expect(t, "ended by its own answer", b.ended(), "a:0")
+		expect(t, "remembered", fmt.Sprint(len(b.links[b.lines[0]].past), len(b.links[b.lines[0]].order)), fmt.Sprint(mostPast, mostPast))
+	}
+}
+
+// What one answer must bring and doesn't, or claims and can't, ends its connection: all written may have run, the
+// rest never did, and both are told at once. A copy too old for what was asked is no answer either.
+func TestSpoilt(t *testing.T) {
+	const good = "sum=00000000000000aa,t0=5000"
+	for _, c := range []struct {
+		word, fields string
+		body         int
+		want         router.Status
+	}{
+		{"DONE", good, 3, router.Fulfilled}, {"KEEP", good, 0, router.Fulfilled}, {"DONE", good + ",res=aged", 3, router.Fulfilled},
+		{"DONE", "t0=5000", 3, router.Broken}, {"DONE", "sum=00000000000000aa", 3, router.Broken}, {"DONE", "-", 3, router.Broken},
+		{"DONE", "sum=aa,t0=5000", 3, router.Broken}, {"DONE", "sum=00000000000000aa,t0=x", 3, router.Broken},
+		{"DONE", "noise", 3, router.Broken}, {"DONE", "", 3, router.Broken}, {"KEEP", good, 3, router.Broken},
+		{"KEEP", "sum=00000000000000ab,t0=5000", 0, router.Broken}, {"LACK", "\x00\x01", 0, router.Broken},
+		{"DONE", "sum=00000000000000aa,t0=4949", 3, router.Failed}, {"DONE", "sum=00000000000000aa,t0=4950", 3, router.Fulfilled},
+	} {
+		b := newBench(9)
+		b.limits.Conns, b.limits.Streams = 1, 9
+		b.Pool.Pull(&Pull{ID: "a", Node: "n", Mine: "00000000000000aa", Copies: true, MaxAge: 1000}, 6000)
+		b.pull("other", 6000)
+		b.lines[0].write(true)
+		b.pull("unwritten", 6001)
+		body := buffer.NewChain(buffer.NewPool(1 << 20))
+		body.Append(make([]byte, c.body))
+		b.Handle(Answered{Wire: b.lines[0], Reply: Reply{Tag: "a", Word: c.word, Fields: c.fields, Body: body}, At: 6002})
+		want := fmt.Sprintf("a:%d", c.want)
+		if c.want == router.Broken {
+			want = fmt.Sprintf("unwritten:%d a:%d other:%d", router.NeverSent, router.Broken, router.Broken)
+		}
+		expect(t, c.word+" "+c.fields, b.ended(), want)
+		expect(t, "closed", b.lines[0].closed, c.want == router.Broken)
+	}
 }
 
 func TestConnections(t *testing.T) {
 	b := newBench(2)
 	b.pull("a", 0)
 	b.pull("b", 0)
+	expect(t, "connections for two pulls where each node may have one", len(b.lines), 1)
 	b.pull("c", 0)
-	expect(t, "connections for three pulls of two a connection", len(b.lines), 2)
+	expect(t, "connections for three of two a connection", len(b.lines), 2)
 	b.pull("d", 0)
 	b.pull("e", 0)
-	expect(t, "past the bound", b.ended(), fmt.Sprintf("e:%d", router.NotConnected))
+	expect(t, "past the bound, which is no node's doing", b.ended(), fmt.Sprintf("e:%d", router.NeverSent))
 	b.answer(0, "a", "DONE", "-", 1)
 	b.answer(0, "b", "DONE", "-", 1)
 	b.List("m", "there:1", 0)
@@ -245,6 +311,92 @@
 	expect(t, "idle", fmt.Sprint(b.lines[1].closed, len(b.lines)), "true 3")
 }
 
+// One connection that is spoilt takes few pulls along: they are spread over what the node may have.
+func TestSpread(t *testing.T) {
+	b := newBench(8)
+	b.limits.Streams = 32
+	for i := range 12 {
+		b.pull(fmt.Sprint(i), 0)
+	}
+	expect(t, "connections", len(b.lines), 4)
+	for _, l := range b.lines {
+		expect(t, "pulls on one", len(l.queue), 3)
+	}
+}
+
+// A node that is gone is forgotten with its last connection, and one at its address starts from nothing.
+func TestGone(t *testing.T) {
+	b := newBench(9)
+	for i := range 100 {
+		id := fmt.Sprint("n", i)
+		b.List(id, "here:1", 0)
+		b.Pool.Pull(&Pull{ID: "a", Node: id}, 0)
+		l := b.lines[len(b.lines)-1]
+		l.write(true)
+		b.Gone(id)
+		expect(t, "closed while a pull is open on it", l.closed, false)
+		b.answer(len(b.lines)-1, "a", "DONE", "-", 1)
+		expect(t, "closed with the last", l.closed, true)
+		b.Handle(Down{Wire: l, Up: true, At: 1})
+	}
+	b.Gone("n")
+	expect(t, "connections and nodes", fmt.Sprint(len(b.lines), len(b.nodes), len(b.links)), "100 0 0")
+}
+
+// A connection that stops amid an answer, or is mute, is given up as a whole; what is only slow says that it is there.
+func TestWatch(t *testing.T) {
+	watch := func(b *bench, from, to float64) {
+		for now := from; now <= to; now += 100 {
+			b.Watch(now)
+		}
+	}
+	start := func() *bench {
+		b := newBench(9)
+		b.limits.Conns, b.limits.Streams = 1, 9
+		b.pull("a", 0)
+		b.pull("b", 0)
+		b.Handle(Up{Wire: b.lines[0]})
+		b.lines[0].write(true)
+		return b
+	}
+	broken := fmt.Sprintf("a:%d b:%d", router.Broken, router.Broken)
+
+	b := start()
+	b.lines[0].heard, b.lines[0].amid = 200, true
+	watch(b, 0, 600)
+	expect(t, "amid an answer, not long", b.ended(), "")
+	watch(b, 700, 700)
+	expect(t, "stopped amid an answer", fmt.Sprint(b.ended(), " ", b.lines[0].closed, b.Mute), broken+" true 1")
+
+	b = start()
+	watch(b, 0, 500)
+	b.lines[0].write(true)
+	expect(t, "asked", strings.HasSuffix(b.lines[0].sent, bulk("PING", "p1")), true)
+	watch(b, 600, 900)
+	expect(t, "not long mute", b.ended(), "")
+	watch(b, 1000, 1000)
+	expect(t, "mute", fmt.Sprint(b.ended(), " ", b.lines[0].closed, len(b.probes)), broken+" true 0")
+
+	b = start()
+	for now := 0.0; now < 5000; now += 100 {
+		b.Watch(now)
+		for _, i := range b.lines[0].queue {
+			b.answer(0, string(bytes.Split(i.head, lineEnd)[4]), "FIT", "-", now)
+			b.lines[0].heard = now
+		}
+		b.lines[0].write(true)
+	}
+	expect(t, "slow, and there", fmt.Sprint(b.ended(), " ", b.lines[0].closed, len(b.probes)), " false 0")
+
+	b = start()
+	b.Watch(0)
+	b.Watch(3000)
+	expect(t, "held up itself, a gateway waits to read first", fmt.Sprint(b.ended(), " ", len(b.lines[0].queue)), " 0")
+	b.Shun("n")
+	watch(b, 3100, 5000)
+	expect(t, "asked while it drains", len(b.lines[0].queue), 0)
+}
+
 // A connection that has ended without being heard of yet is passed over: nothing ran there.
 func TestEndedUnheard(t *testing.T) {
 	b := newBench(9)
@@ -253,12 +405,12 @@
 	b.pull("b", 1)
 	expect(t, "connections and ends", fmt.Sprintf("%d %q", len(b.lines), b.ended()), `2 ""`)
 	b.Handle(Down{Wire: b.lines[0], Up: true, At: 2})
-	expect(t, "what was open on it", b.ended(), fmt.Sprintf("a:%d", router.NotConnected))
+	expect(t, "what was open on it", b.ended(), fmt.Sprintf("a:%d", router.NeverSent))
 }
 
 // Word of a drain or a purge binds what waits on a connection that is slow to come up; what is written goes on.
 func TestWithdraw(t *testing.T) {
-	b := newBench(9)
+	b := newBench(4)
 	b.List("m", "there:1", 0)
 	b.Pool.Pull(&Pull{ID: "out", Node: "n"}, 0)
 	b.lines[0].write(true)
@@ -274,7 +426,7 @@
 // What is half written on a connection that takes no more can't be taken back, and must not come whole after its
 // download's answer: the connection ends.
 func TestStuck(t *testing.T) {
-	b := newBench(9)
+	b := newBench(2)
 	b.pull("whole", 0)
 	b.lines[0].write(true)
 	half := b.pull("half", 0)
@@ -288,7 +440,7 @@
 
 // A machine that vanished says nothing: whether it is there, a new connection tells.
 func TestSilence(t *testing.T) {
-	b := newBench(9)
+	b := newBench(2)
 	first, second := b.pull("a", 0), b.pull("b", 0)
 	b.lines[0].write(true)
 	b.Drop(first, router.TimedOut, 100)
--- a/internal/caches/pool.go
+++ b/internal/caches/pool.go
@@ -20,11 +20,15 @@
 	ID, Node string
 	Fields   string
 	Body     *buffer.Chain // the pool takes its own hold
-	Keeps    bool          // the client has a copy that may be the one
+	Mine     string        // the tag of the client's copy, which may be the one
+	Copies   bool          // an answer is a copy, which says how old it is
+	MaxAge   float64       // ms, of a copy as the pull is sent; 0: any will do
+	Before   *Pull         // the last pull of the same download; they go by one ID
 	Owner    any
 	link     *link
 	item     *Item
 	sent     float64
+	own      bool // the pool's own question
 	done     bool
 }
 
@@ -46,27 +50,32 @@
 	Idle    float64 // ms after which a connection is closed
 	Conns   int     // in all
 	Reports bool    // probes ask for the load too
+	Checks  bool    // probes are allowed, so that a connection that has gone silent may be asked
+	Answer  float64 // ms within which what is only alive answers: as long as a connection may take to come up
 	Names   func(string) string
 }
 
 // Pool holds the connections to all nodes.
 type Pool struct {
-	limits Limits
-	dial   func(address string) Wire
-	nodes  map[string]*node
-	links  map[Wire]*link
-	tags   int
-	ends   []End
-	probes map[string]*Pull // by tag
-	closed bool
-
-	Dialled, Malformed, Short, Late int // counters; Short of descriptors or buffers
+	limits  Limits
+	dial    func(address string) Wire
+	nodes   map[string]*node
+	links   map[Wire]*link
+	tags    int
+	ends    []End
+	probes  map[string]*Pull // by tag
+	closed  bool
+	watched float64
+
+	Dialled, Malformed, Short, Late, Mute, Old int // counters; Short of descriptors or buffers
 }
 
 type node struct {
 	id, address string
 	booted      float64
 	links       []*link
+	shunned     bool // nothing new may go to it
+	gone        bool // it is forgotten with its last connection
 }
 
 // link is one connection with what is open on it.
@@ -76,9 +85,11 @@
 	up      bool
 	retired bool // takes no more pulls, and closes with the last on it
 	open    map[string]*Pull
-	dropped map[string]bool // a late answer may still come under these ids
+	past    map[string]bool // ids whose pulls have ended: an answer may still come, or a second copy of one
+	order   []string        // of past, the oldest first
 	used    float64
 	heard   float64
+	check   *Pull // asks whether anybody is there at all
 }
 
 // NewPool makes a pool that opens its connections by dial.
@@ -96,13 +107,29 @@
 	if n.address != address || n.booted != booted {
 		p.retire(n)
 	}
-	n.address, n.booted = address, booted
+	n.address, n.booted, n.shunned, n.gone = address, booted, false, false
+}
+
+// Shun tells that nothing new may go to a node, not even a question whether it is there.
+func (p *Pool) Shun(id string) {
+	if n := p.nodes[id]; n != nil {
+		n.shunned = true
+	}
 }
 
 // Gone tells that a node is no more. What is open to it goes on.
 func (p *Pool) Gone(id string) {
 	if n := p.nodes[id]; n != nil {
+		n.shunned, n.gone = true, true
 		p.retire(n)
+		p.leave(n)
+	}
+}
+
+// leave forgets a node that is gone, as lists bring new ones all day.
+func (p *Pool) leave(n *node) {
+	if n.gone && len(n.links) == 0 {
+		delete(p.nodes, n.id)
 	}
 }
 
@@ -129,40 +156,58 @@
 func (p *Pool) send(q *Pull, head []byte, now float64) {
 	l := p.link(q, now)
 	if l == nil {
-		p.end(q, End{Status: router.NotConnected, At: now})
+		// Short of connections, which is no node's doing.
+		p.end(q, End{Status: router.NeverSent, At: now})
 		return
 	}
+	if !p.put(l, q, head, now) {
+		p.send(q, head, now)
+	}
+}
+
+func (p *Pool) put(l *link, q *Pull, head []byte, now float64) bool {
 	q.link, l.open[q.ID], l.used, q.sent = l, q, now, now
 	q.item = &Item{head: head}
 	if q.Body.Len() > 0 {
 		q.item.body = q.Body.Hold()
 	}
-	if !l.wire.Send(q.item) {
-		l.retired = true
-		delete(l.open, q.ID)
-		p.tidy(l)
-		p.send(q, head, now)
+	if l.wire.Send(q.item) {
+		return true
 	}
+	l.retired = true
+	delete(l.open, q.ID)
+	p.tidy(l)
+	return false
 }
 
-// link finds a connection with room, or opens one. One on which an answer to an earlier pull of the same
-// download may still come is passed over: nobody could tell the two apart.
+// link finds the connection with the least open, or opens one while the node has few: what spoils or stops one
+// connection takes along all that is open on it. One on which an answer to an earlier pull of the same download, or
+// a second copy of it, may still come is passed over: nobody could tell the two apart. So is one that may be mute.
 func (p *Pool) link(q *Pull, now float64) *link {
 	n := p.nodes[q.Node]
 	if n == nil {
 		return nil
 	}
+	var best *link
 	for _, l := range slices.Clone(n.links) {
 		p.rest(l, now)
-		if !l.retired && len(l.open) < p.limits.Streams && l.open[q.ID] == nil && !l.dropped[q.ID] {
-			return l
+		if l.retired || l.check != nil || len(l.open) >= p.limits.Streams || l.open[q.ID] != nil || l.past[q.ID] || q.met(l) {
+			continue
+		}
+		if best == nil || len(l.open) < len(best.open) || len(l.open) == len(best.open) && l.heard > best.heard {
+			best = l
 		}
 	}
-	if p.closed || len(p.links) >= p.limits.Conns && !p.evict() {
-		p.Short++
-		return nil
+	if best != nil && (len(best.open) == 0 || len(n.links) >= p.each()) {
+		return best
+	}
+	if p.closed || len(p.links) >= p.limits.Conns && (best != nil || !p.evict()) {
+		if best == nil {
+			p.Short++
+		}
+		return best
 	}
-	l := &link{node: n, wire: p.dial(n.address), open: map[string]*Pull{}, dropped: map[string]bool{}, used: now,
+	l := &link{node: n, wire: p.dial(n.address), open: map[string]*Pull{}, past: map[string]bool{}, used: now,
 		heard: math.Inf(-1)}
 	n.links = append(n.links, l)
 	p.links[l.wire] = l
@@ -170,6 +215,22 @@
 	return l
 }
 
+// each is how many connections a node may have while others' pulls could share one: half of the node's part, so that
+// nodes that need more find room.
+func (p *Pool) each() int { return max(1, min(mostEach, p.limits.Conns/(2*max(1, len(p.nodes))))) }
+
+const mostEach = 16
+
+// met tells whether an earlier pull of the same download went by a connection.
+func (q *Pull) met(l *link) bool {
+	for b := q.Before; b != nil; b = b.Before {
+		if b.link == l {
+			return true
+		}
+	}
+	return false
+}
+
 // evict closes a connection on which nothing is open, the one not used for longest.
 func (p *Pool) evict() bool {
 	var oldest *link
@@ -196,10 +257,23 @@
 			break
 		}
 	}
+	p.leave(l.node)
 }
 
-// mostDropped bounds what a connection remembers of pulls given up; then it is replaced.
-const mostDropped = 256
+// mostPast bounds what a connection remembers of pulls that have ended: some seconds of them.
+const mostPast = 256
+
+func (l *link) remember(id string) {
+	if l.past[id] {
+		return
+	}
+	if len(l.order) == mostPast {
+		delete(l.past, l.order[0])
+		l.order = append(l.order[:0], l.order[1:]...)
+	}
+	l.past[id] = true
+	l.order = append(l.order, id)
+}
 
 // Drop gives a pull up; its end comes by Ends with the status given, or as never sent where that is proven.
 func (p *Pool) Drop(q *Pull, status router.Status, now float64) {
@@ -217,10 +291,9 @@
 		l.retired = true
 		l.wire.Close()
 	} else {
-		l.dropped[q.ID] = true
 		// What says nothing for as long as a pull may take, may be a machine that is no more: whether it still
 		// is there, a new connection finds out sooner than the next pull's time-out.
-		if status == router.TimedOut && l.heard < q.sent || len(l.dropped) >= mostDropped {
+		if status == router.TimedOut && l.heard < q.sent {
 			l.retired = true
 		}
 		drop := &Item{head: command(nil, []string{"DROP", q.ID}, -1)}
@@ -235,15 +308,13 @@
 // Withdraw takes back what still waits to be written, as on a connection that is slow to come up, of the pulls
 // named: word of a drain or a purge binds it too. It never ran, and may go out anew at once.
 func (p *Pool) Withdraw(named func(*Pull) bool, now float64) {
-	for _, name := range slices.Sorted(maps.Keys(p.nodes)) {
-		for _, l := range slices.Clone(p.nodes[name].links) {
-			for _, tag := range slices.Sorted(maps.Keys(l.open)) {
-				if q := l.open[tag]; named(q) && l.wire.Remove(q.item) {
-					p.end(q, End{Status: router.NeverSent, At: now})
-				}
+	for _, l := range p.inOrder() {
+		for _, tag := range slices.Sorted(maps.Keys(l.open)) {
+			if q := l.open[tag]; named(q) && l.wire.Remove(q.item) {
+				p.end(q, End{Status: router.NeverSent, At: now})
 			}
-			p.tidy(l)
 		}
+		p.tidy(l)
 	}
 }
 
@@ -267,13 +338,19 @@
 		return
 	}
 	q.done = true
-	if q.link != nil {
-		delete(q.link.open, q.ID)
+	if l := q.link; l != nil {
+		delete(l.open, q.ID)
+		if l.remember(q.ID); l.check == q {
+			l.check = nil
+		}
 	}
 	if e.Pull = q; p.probes[q.ID] == q {
 		e.Probe = q.Node
 		delete(p.probes, q.ID)
 	}
+	if q.own {
+		return
+	}
 	p.ends = append(p.ends, e)
 }
 
@@ -311,15 +388,35 @@
 			return
 		}
 		p.forget(l)
-		for _, id := range slices.Sorted(maps.Keys(l.open)) {
-			q := l.open[id]
-			status := router.NotConnected
-			if q.item.state.Load() != queued {
-				status = router.Broken
-			}
-			p.end(q, End{Status: status, At: e.At})
+		p.lost(l, e.Up, e.At)
+	}
+}
+
+// lost ends all that is open on a connection that is no more, at once: what was written whole may have run, what was
+// not never will; where the connection never came up, that is the node's doing.
+func (p *Pool) lost(l *link, up bool, now float64) {
+	for _, id := range slices.Sorted(maps.Keys(l.open)) {
+		q, status := l.open[id], router.NotConnected
+		if q.item.state.Load() != queued {
+			status = router.Broken
+		} else if up {
+			status = router.NeverSent
+		}
+		p.end(q, End{Status: status, At: now})
+	}
+}
+
+// fail gives up a connection of which nothing more can be believed, or that is mute.
+func (p *Pool) fail(l *link, now float64) {
+	for _, id := range slices.Sorted(maps.Keys(l.open)) {
+		// What waits is taken back first: it must not be written while the connection closes.
+		if q := l.open[id]; l.wire.Remove(q.item) {
+			p.end(q, End{Status: router.NeverSent, At: now})
 		}
 	}
+	l.wire.Close()
+	p.forget(l)
+	p.lost(l, true, now)
 }
 
 func (p *Pool) answered(e Answered) {
@@ -331,22 +428,32 @@
 	l.heard = e.At
 	q := l.open[r.Tag]
 	if q == nil {
-		p.Late++
-		delete(l.dropped, r.Tag)
+		p.Late++ // a second copy, or what was given up, or never asked: it harms nothing
 		r.Body.Release()
 		return
 	}
 	status, known := words[r.Word]
 	_, probe := p.probes[r.Tag]
-	switch {
-	case !known || probe != (r.Word == "FIT" || r.Word == "UNFIT") || r.Word == "KEEP" && !q.Keeps:
+	fields, readable := parseFields(r.Fields)
+	born, dated := number(fields["t0"])
+	brings := status != router.Fulfilled || probe || !q.Copies || dated && tag(fields["sum"])
+	keeps := r.Word != "KEEP" || q.Mine != "" && fields["sum"] == q.Mine && r.Body.Len() == 0
+	if !known || !readable || probe != (r.Word == "FIT" || r.Word == "UNFIT") || !keeps || !brings {
+		// Where one answer is not what it must be, none after it can be believed.
 		p.Malformed++
-		status = router.Failed // whatever it means, it may have run
+		r.Body.Release()
+		p.fail(l, e.At)
+		return
+	}
+	switch {
 	case r.Short:
 		p.Short++
 		status = router.Broken
+	case status == router.Fulfilled && q.Copies && !probe && q.MaxAge > 0 && born < q.sent-q.MaxAge-ageSlack:
+		p.Old++
+		status = router.Failed
 	}
-	end := End{Status: status, Note: notes[field(r.Fields, "res")], Load: p.load(field(r.Fields, "gauges")),
+	end := End{Status: status, Note: notes[fields["res"]], Load: p.load(fields["gauges"]),
 		Keep: r.Word == "KEEP", At: e.At}
 	if status == router.Fulfilled && !end.Keep {
 		end.Body = r.Body
@@ -357,6 +464,60 @@
 	p.tidy(l)
 }
 
+// ageSlack is what the clocks of two machines, and rounding, may make a copy look older than it is.
+const ageSlack = 50.0
+
+// Watch finds connections that have stopped amid an answer or gone silent, as a whole, and so before the pulls on
+// them time out one by one. What is merely slow answers the question whether it is there.
+func (p *Pool) Watch(now float64) {
+	late := now-p.watched > p.limits.Answer/2 // the gateway itself was held up, and may not have read yet
+	if p.watched = now; late {
+		return
+	}
+	for _, l := range p.inOrder() {
+		if len(l.open) == 0 || !l.up || l.node.shunned {
+			continue
+		}
+		first := math.Inf(1)
+		for _, q := range l.open {
+			if q.item.state.Load() == written {
+				first = min(first, q.sent)
+			}
+		}
+		at, amid := l.wire.Heard()
+		quiet := now - max(first, at)
+		switch {
+		case amid && now-at > p.limits.Answer, l.check != nil && now-max(l.check.sent, at) > p.limits.Answer:
+			p.Mute++
+			p.fail(l, now)
+		case l.check != nil && at > l.check.sent:
+			p.end(l.check, End{Status: router.CalledOff, At: now}) // what it says answers the question
+			p.tidy(l)
+		case l.check == nil && p.limits.Checks && quiet > p.limits.Answer:
+			l.check = p.ask(l, now)
+		}
+	}
+}
+
+func (p *Pool) inOrder() (all []*link) {
+	for _, name := range slices.Sorted(maps.Keys(p.nodes)) {
+		all = append(all, p.nodes[name].links...)
+	}
+	return all
+}
+
+// ask puts a question on one connection; who asks is the pool itself, so its end is nobody's.
+func (p *Pool) ask(l *link, now float64) *Pull {
+	p.tags++
+	q := &Pull{ID: "p" + strconv.Itoa(p.tags), Node: l.node.id, own: true}
+	p.probes[q.ID] = q
+	if !p.put(l, q, command(nil, []string{"PING", q.ID}, -1), now) {
+		delete(p.probes, q.ID)
+		return nil
+	}
+	return q
+}
+
 // load reads a report; what is no number is left out: reports are hearsay, and a download must not hang on one.
 func (p *Pool) load(text string) map[string]float64 {
 	if text == "" {
--- a/internal/caches/resp.go
+++ b/internal/caches/resp.go
@@ -15,9 +15,9 @@
 
 // Bounds on what one answer may hold.
 const (
-	mostParts  = 8
+	mostParts  = 4
 	mostWord   = 4 << 10
-	mostAnswer = 1 << 20
+	mostAnswer = 240_000 // an object's bytes
 	mostLine   = 16
 )
 
@@ -89,9 +89,6 @@
 		if p.left--; p.left > 0 {
 			continue
 		}
-		if p.part < 3 {
-			return found, fmt.Errorf("an answer of %d strings", p.part)
-		}
 		found = append(found, Reply{Tag: string(p.words[0]), Word: string(p.words[1]),
 			Fields: string(p.words[2]), Body: p.body, Short: p.short})
 		p.body, p.short = nil, false
@@ -137,14 +134,35 @@
 	p.body = nil
 }
 
-// field takes one value out of a list name=value,name=value.
-func field(fields, name string) string {
-	for pair := range strings.SplitSeq(fields, ",") {
-		if n, v, ok := strings.Cut(pair, "="); ok && n == name {
-			return v
+// Amid tells whether an answer is under way.
+func (p *Parser) Amid() bool { return p.left > 0 || len(p.line) > 0 }
+
+// parseFields reads a list name=value,name=value, or - for none; false where it is none.
+func parseFields(text string) (map[string]string, bool) {
+	if text == "-" {
+		return nil, true
+	}
+	fields := make(map[string]string, 4)
+	for pair := range strings.SplitSeq(text, ",") {
+		name, value, ok := strings.Cut(pair, "=")
+		if !ok || name == "" {
+			return nil, false
 		}
+		fields[name] = value
 	}
-	return ""
+	return fields, true
+}
+
+// tag tells whether a word is a copy's tag: 16 hex digits.
+func tag(s string) bool {
+	_, err := strconv.ParseUint(s, 16, 64)
+	return err == nil && len(s) == 16
+}
+
+// number reads a time as the protocol writes one.
+func number(s string) (float64, bool) {
+	n, err := strconv.ParseUint(s, 10, 53)
+	return float64(n), err == nil
 }
 
 func length(out []byte, sign byte, n int) []byte {
--- a/internal/caches/wire.go
+++ b/internal/caches/wire.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -26,10 +27,11 @@
 
 // Wire is a connection as the pool sees it: it never blocks, and tells what happens by events.
 type Wire interface {
-	Send(*Item) bool   // false: too much waits already
-	Remove(*Item) bool // true: it was not taken yet and never will be
-	Stuck() bool       // the node has not read for longer than any write takes
-	Close()            // gives up all that is open on it
+	Send(*Item) bool                // false: too much waits already
+	Remove(*Item) bool              // true: it was not taken yet and never will be
+	Stuck() bool                    // the node has not read for longer than any write takes
+	Heard() (at float64, amid bool) // when bytes last came, and whether an answer is not whole yet
+	Close()                         // gives up all that is open on it
 }
 
 // Event is one of the types below.
@@ -87,6 +89,8 @@
 	closed bool
 	wake   chan struct{}
 	since  atomic.Int64    // when the write under way began, in Unix ns; 0: none is
+	heard  atomic.Uint64   // when bytes last came, as the bits of a float64
+	amid   atomic.Bool     // an answer is not whole yet
 	ctx    context.Context // ends with the wire
 	cancel context.CancelFunc
 }
@@ -130,6 +134,8 @@
 	return since != 0 && time.Now().UnixNano()-since > int64(blocked)
 }
 
+func (w *wire) Heard() (float64, bool) { return math.Float64frombits(w.heard.Load()), w.amid.Load() }
+
 func (w *wire) Close() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -191,6 +197,8 @@
 		at := w.dialer.Now()
 		var bad error
 		found, bad = p.Feed(b[:n], found[:0])
+		w.heard.Store(math.Float64bits(at))
+		w.amid.Store(p.Amid())
 		for i, r := range found {
 			w.dialer.Post(Answered{Wire: w, Reply: r, At: at})
 			found[i] = Reply{}
--- a/internal/footprint/config.go
+++ b/internal/footprint/config.go
@@ -17,7 +17,9 @@
 type Type struct {
 	Name          string
 	Expiry        float64 // ms, the longest
+	Fresh         float64 // ms, how old a copy may be where nothing else is said; 0: any
 	Parts, Bodies bool    // there are more parts than the first; a request may bring a body
+	Writes        bool    // it is answered by what it does, not by a copy
 }
 
 // Config is what one gateway is told at its start.
@@ -73,8 +75,9 @@
 		Limit float64 `json:"hard_limit"`
 	} `json:"classes"`
 	Extra struct {
-		Pieces []bool `json:"in_pieces"`
-		Writes []bool `json:"class_write"`
+		Pieces []bool    `json:"in_pieces"`
+		Writes []bool    `json:"class_write"`
+		Fresh  []float64 `json:"max_age"`
 	} `json:"extra"`
 	Permissions struct {
 		Connect float64 `json:"connect_timeout"`
@@ -156,8 +159,14 @@
 			return nil, fmt.Errorf("settings.classes[%d].hard_limit: must be above 0", i)
 		}
 		// What the settings don't tell is left to the caches.
-		c.Types = append(c.Types, Type{Name: t.Name, Expiry: t.Limit, Parts: i >= len(s.Extra.Pieces) || s.Extra.Pieces[i],
-			Bodies: i >= len(s.Extra.Writes) || s.Extra.Writes[i]})
+		typ := Type{Name: t.Name, Expiry: t.Limit, Parts: i >= len(s.Extra.Pieces) || s.Extra.Pieces[i], Bodies: true, Writes: true}
+		if i < len(s.Extra.Writes) {
+			typ.Bodies, typ.Writes = s.Extra.Writes[i], s.Extra.Writes[i]
+		}
+		if i < len(s.Extra.Fresh) {
+			typ.Fresh = s.Extra.Fresh[i]
+		}
+		c.Types = append(c.Types, typ)
 	}
 	if len(c.Types) == 0 {
 		return nil, errors.New("settings.classes: missing")
--- a/internal/gateway/core.go
+++ b/internal/gateway/core.go
@@ -3,6 +3,7 @@
 package gateway
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"slices"
@@ -68,7 +69,7 @@
 	pool      *caches.Pool
 	downloads map[string]*download
 	clients   map[Client]map[uint16]*download
-	probes    map[*caches.Pull]bool
+	probes    map[*caches.Pull]*timer
 	addresses map[string]string
 	timers    timers
 	tell      []router.Event
@@ -88,7 +89,11 @@
 	part, group           int64
 	expiry                float64
 	body                  *buffer.Chain
+	copies                bool    // it is answered by a copy, not by what it does
+	fresh                 float64 // ms, how old a copy may be where a pull doesn't say; 0: any
 	pulls                 []*pull
+	last                  *caches.Pull
+	timer                 *timer
 	out                   int
 	answered              bool
 }
@@ -99,12 +104,13 @@
 	wire         *caches.Pull // nil once it has ended
 	node, source string
 	sent         float64
+	timer        *timer
 }
 
 // NewCore makes a gateway, tells its router what is known at its start, and is ready then.
 func NewCore(c *footprint.Config, pool *caches.Pool, log logrus.FieldLogger, now float64) *Core {
 	g := &Core{config: c, log: log, scarce: &scarce{log: log}, router: router.New(), pool: pool, downloads: map[string]*download{},
-		clients: map[Client]map[uint16]*download{}, probes: map[*caches.Pull]bool{},
+		clients: map[Client]map[uint16]*download{}, probes: map[*caches.Pull]*timer{},
 		addresses: map[string]string{}, most: Share(c).Open, now: now}
 	g.event(router.Started{Seed: c.Seed, Footprint: c.Footprint})
 	for _, n := range c.Known {
@@ -157,17 +163,11 @@
 		t := g.timers.pop()
 		switch {
 		case t.pull != nil:
-			if t.pull.wire != nil {
-				g.pool.Drop(t.pull.wire, router.TimedOut, g.now)
-			}
+			g.pool.Drop(t.pull.wire, router.TimedOut, g.now)
 		case t.probe != nil:
-			if g.probes[t.probe] {
-				g.pool.Drop(t.probe, router.TimedOut, g.now)
-			}
+			g.pool.Drop(t.probe, router.TimedOut, g.now)
 		case t.dl != nil:
-			if !t.dl.answered {
-				g.overdue(t.dl)
-			}
+			g.overdue(t.dl)
 		default:
 			g.event(router.Rang{Token: t.token})
 		}
@@ -175,6 +175,13 @@
 	}
 }
 
+// Watch looks for connections that say nothing any more.
+func (g *Core) Watch(now float64) {
+	g.Ring(now)
+	g.pool.Watch(now)
+	g.settle()
+}
+
 // Next is when something is due next; false where nothing is.
 func (g *Core) Next() (float64, bool) {
 	if len(g.timers) == 0 {
@@ -264,8 +271,7 @@
 	case router.Probe:
 		g.Probes++
 		q := g.pool.Probe(a.Node, g.now)
-		g.probes[q] = true
-		g.timers.push(timer{at: g.now + g.config.Connect, probe: q})
+		g.probes[q] = g.timers.push(timer{at: g.now + g.config.Connect, probe: q})
 	case router.Alarm:
 		g.timers.push(timer{at: a.At, token: a.Token})
 	case router.Watch: // the channel's changes come unasked
@@ -286,6 +292,7 @@
 // owed ends what is owed to a client.
 func (g *Core) owed(d *download) {
 	g.open--
+	g.timers.remove(d.timer)
 	all := g.clients[d.client]
 	if delete(all, d.number); len(all) == 0 {
 		delete(g.clients, d.client)
@@ -346,7 +353,7 @@
 		g.clients[d.client] = map[uint16]*download{}
 	}
 	g.clients[d.client][d.number] = d
-	g.timers.push(timer{at: d.expiry + g.config.Slack, dl: d})
+	d.timer = g.timers.push(timer{at: d.expiry + g.config.Slack, dl: d})
 	g.event(router.Arrived{ID: d.id, Type: d.typ, Object: d.object, Expiry: d.expiry, Group: d.group, Part: d.part})
 }
 
@@ -359,7 +366,8 @@
 		return nil, fmt.Errorf("SCRIPT_NAME: %.80q", params["SCRIPT_NAME"])
 	}
 	typ := g.config.Types[i]
-	d := &download{id: params["HTTP_X_JOB_ID"], typ: name, object: params["HTTP_X_ITEM"], mine: params["HTTP_X_MINE"]}
+	d := &download{id: params["HTTP_X_JOB_ID"], typ: name, object: params["HTTP_X_ITEM"], mine: params["HTTP_X_MINE"],
+		copies: !typ.Writes, fresh: typ.Fresh}
 	if !hex(d.id) {
 		return nil, fmt.Errorf("X-Job-Id: %.80q", d.id)
 	}
@@ -443,8 +451,9 @@
 	}
 	g.Pulls++
 	p.wire = &caches.Pull{ID: d.id, Node: a.Node, Fields: fields(d, a, until-g.now), Body: d.body,
-		Keeps: d.mine != "", Owner: p}
-	g.timers.push(timer{at: until, pull: p})
+		Mine: d.mine, Copies: d.copies, MaxAge: cmp.Or(a.MaxAge, d.fresh), Before: d.last, Owner: p}
+	d.last = p.wire
+	p.timer = g.timers.push(timer{at: until, pull: p})
 	g.pool.Pull(p.wire, g.now)
 }
 
@@ -480,6 +489,7 @@
 
 func (g *Core) ended(e caches.End) {
 	if e.Probe != "" {
+		g.timers.remove(g.probes[e.Pull])
 		delete(g.probes, e.Pull)
 		e.Body.Release()
 		g.event(router.Probed{Node: e.Probe, Status: e.Status, Load: e.Load})
@@ -491,6 +501,7 @@
 // report tells the router how a pull ended; the first that is fulfilled is the client's answer.
 func (g *Core) report(p *pull, e caches.End) {
 	d := p.dl
+	g.timers.remove(p.timer)
 	p.wire = nil
 	d.out--
 	if e.Status == router.Fulfilled && !d.answered {
@@ -550,6 +561,7 @@
 }
 
 func (g *Core) shun(id string) {
+	g.pool.Shun(id)
 	g.withdraw(func(p *pull) bool { return p.node == id || p.source == id })
 }
 
--- a/internal/gateway/core_test.go
+++ b/internal/gateway/core_test.go
@@ -80,8 +80,9 @@
 	return false
 }
 
-func (l *line) Stuck() bool { return false }
-func (l *line) Close()      { l.closed = true }
+func (l *line) Heard() (float64, bool) { return 0, false }
+func (l *line) Stuck() bool            { return false }
+func (l *line) Close()                 { l.closed = true }
 
 // deliver makes what is queued whole at the node.
 func (l *line) deliver() {
@@ -195,7 +196,7 @@
 func (w *world) answer(l *line, n int, word string) {
 	id := l.open[n]
 	l.open = append(l.open[:n], l.open[n+1:]...)
-	r := caches.Reply{Tag: id, Word: word, Fields: "res=warm,sum=ab,t0=1,gauges=util:0.5"}
+	r := caches.Reply{Tag: id, Word: word, Fields: fmt.Sprintf("res=warm,sum=00000000000000ab,t0=%.0f,gauges=util:0.5", w.now)}
 	if a := w.asked[id]; a == nil {
 		r.Word = "FIT"
 	} else if word == "LACK" || word == "WAIT" || word == "PAST" {
@@ -287,6 +288,11 @@
 			w.end(l)
 		}
 	}
+	for _, x := range w.core.timers {
+		if x.dl != nil || x.pull != nil || x.probe != nil {
+			w.fault("a timer holds on to what has ended")
+		}
+	}
 	if n := len(w.core.downloads); n != 0 || w.core.Open() != 0 || len(w.core.clients) != 0 || len(w.core.probes) != 0 {
 		w.fault("%d downloads, %d owed, %d probes are left over", n, w.core.Open(), len(w.core.probes))
 	}
@@ -465,21 +471,30 @@
 	}
 }
 
+// What is due comes in its order, and what is no longer needed is not held on to.
 func TestTimers(t *testing.T) {
 	r := rand.New(rand.NewSource(1))
 	var h timers
+	var all []*timer
 	last, n := 0.0, 0
-	for i := range 5000 {
-		if len(h) == 0 || r.Intn(5) < 3 && i < 4000 {
-			h.push(timer{at: last + float64(r.Intn(50)), token: int64(i)})
+	for i := range 9000 {
+		switch k := r.Intn(6); {
+		case len(h) == 0 || k < 3 && i < 7000:
+			all = append(all, h.push(timer{at: last + float64(r.Intn(50)), token: int64(i)}))
 			n++
-			continue
-		}
-		x := h.pop()
-		if n--; x.at < last || n != len(h) {
-			t.Fatalf("%v comes after %v, %d left of %d", x.at, last, len(h), n)
+		case k == 3:
+			x := all[r.Intn(len(all))]
+			if x.place > 0 {
+				n--
+			}
+			h.remove(x)
+		default:
+			x := h.pop()
+			if n--; x.at < last || n != len(h) || x.place != 0 {
+				t.Fatalf("%v comes after %v, %d left of %d", x.at, last, len(h), n)
+			}
+			last = x.at
 		}
-		last = x.at
 	}
 }
 
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -38,7 +38,8 @@
 
 const (
 	inboxMost  = 1024
-	tidyEvery  = 1000.0 // ms between looks for idle connections
+	watchEvery = 100.0  // ms between looks for mute connections
+	tidyEvery  = 1000.0 // and for idle ones
 	countEvery = 10     // of those between lines of counters
 )
 
@@ -89,7 +90,7 @@
 	dialer := &caches.Dialer{Pool: buffers, Reads: reads, Now: clock.now, Connect: time.Duration(c.Connect * float64(time.Millisecond)),
 		Post: func(e caches.Event) { p.post(e) }}
 	pool := caches.NewPool(caches.Limits{Streams: c.Streams, Idle: c.Idle, Conns: budget.Caches,
-		Reports: c.Reports, Names: footprint.Report}, dialer.Dial)
+		Reports: c.Reports, Checks: c.Probing, Answer: c.Connect, Names: footprint.Report}, dialer.Dial)
 	core := NewCore(c, pool, log, clock.now())
 	server := &clients.Server{Pool: buffers, Reads: reads, Handler: p, Now: clock.now, Most: budget.Clients}
 	troubles := &scarce{log: log}
@@ -144,6 +145,7 @@
 	server   *clients.Server
 	listener net.Listener
 	reload   *reloader
+	watched  float64
 	tidied   float64
 	looks    int
 }
@@ -164,6 +166,10 @@
 		}
 		now := l.clock.now()
 		l.core.Ring(now)
+		if now >= l.watched+watchEvery {
+			l.watched = now
+			l.core.Watch(now)
+		}
 		if now >= l.tidied+tidyEvery {
 			l.tidied = now
 			l.pool.Tidy(now)
@@ -176,7 +182,7 @@
 		if l.core.ending && shut == nil && l.core.Open() == 0 {
 			return
 		}
-		due := l.tidied + tidyEvery
+		due := l.watched + watchEvery
 		if at, ok := l.core.Next(); ok {
 			due = min(due, at)
 		}
@@ -212,7 +218,7 @@
 		"taken": c.Taken, "fulfilled": c.Fulfilled, "kept": c.Kept, "throttled": c.Throttled,
 		"abandoned": c.Abandoned, "left": c.Left, "refused": c.Refused, "turned": c.Turned, "overdue": c.Overdue,
 		"panics": c.Panics, "pulls": c.Pulls, "probes": c.Probes, "open": l.core.Open(),
-		"conns": p.Conns(), "dialled": p.Dialled, "malformed": p.Malformed, "short": p.Short, "late": p.Late,
+		"conns": p.Conns(), "dialled": p.Dialled, "malformed": p.Malformed, "short": p.Short, "late": p.Late, "mute": p.Mute, "old": p.Old,
 		"buffers": l.buffers.Out(), "broken": assert.Broken(),
 		"shed":    l.server.Shed.Load(),
 		"reloads": l.reload.done.Load(), "misread": l.reload.misread.Load(), "passed": l.reload.follower.Passed.Load(),
