Idle connections are reused only as long as they last on the way

Pool.rest went by the setting alone (27 s). Now the idle time from which more than one in twenty break, by powers of two over some ten seconds, ends an idle connection.

--- a/internal/caches/caches_test.go
+++ b/internal/caches/caches_test.go
@@ -470,3 +470,39 @@
 	expect(t, "a node that is not listed", fmt.Sprint(b.Probe("x", 9).done, b.ended() != ""), "true true")
 	expect(t, "asserts broken", assert.Broken(), 0)
 }
+
+// Where idle connections break as they are used again, they are not used for longer than they last; what breaks once
+// changes nothing, and after a while they are tried again.
+func TestReuse(t *testing.T) {
+	b := newBench(2)
+	now := 0.0
+	again := func(idle float64, breaks bool) (dialled int) {
+		before := len(b.lines)
+		b.pull("a"+fmt.Sprint(now), now)
+		l := b.lines[len(b.lines)-1]
+		l.write(true)
+		b.answer(len(b.lines)-1, "a"+fmt.Sprint(now), "DONE", "-", now)
+		now += idle
+		b.pull("b"+fmt.Sprint(now), now)
+		if last := len(b.lines) - 1; breaks && last == before {
+			b.lines[last].write(true)
+			b.Handle(Down{Wire: b.lines[last], Up: true, At: now + 1})
+		} else {
+			b.lines[last].write(true)
+			b.answer(last, "b"+fmt.Sprint(now), "DONE", "-", now)
+			b.Handle(Down{Wire: b.lines[last], Up: true, At: now})
+		}
+		now += 10
+		return len(b.lines) - before
+	}
+	for range 2 {
+		again(100, true)
+	}
+	expect(t, "dialled after a few breaks", again(100, false), 1)
+	for range 4 {
+		again(100, true)
+	}
+	expect(t, "dialled after many", fmt.Sprint(again(100, true), again(30, false), again(400, true)), "2 1 2")
+	now += 60_000
+	expect(t, "dialled much later", again(100, false), 1)
+}
--- a/internal/caches/pool.go
+++ b/internal/caches/pool.go
@@ -28,7 +28,8 @@
 	link     *link
 	item     *Item
 	sent     float64
-	own      bool // the pool's own question
+	idle     float64 // for how long its connection had been idle; 0: it was new, or not idle
+	own      bool    // the pool's own question
 	done     bool
 }
 
@@ -64,6 +65,7 @@
 	tags    int
 	ends    []End
 	probes  map[string]*Pull // by tag
+	reuse   reuse
 	closed  bool
 	watched float64
 
@@ -166,6 +168,10 @@
 }
 
 func (p *Pool) put(l *link, q *Pull, head []byte, now float64) bool {
+	if len(l.open) == 0 && !math.IsInf(l.heard, -1) {
+		q.idle = now - l.idleSince()
+		p.reuse.note(q.idle, now, true, false)
+	}
 	q.link, l.open[q.ID], l.used, q.sent = l, q, now, now
 	q.item = &Item{head: head}
 	if q.Body.Len() > 0 {
@@ -399,6 +405,9 @@
 		q, status := l.open[id], router.NotConnected
 		if q.item.state.Load() != queued {
 			status = router.Broken
+			if q.idle > 0 && l.heard < q.sent && now-q.sent < p.limits.Answer {
+				p.reuse.note(q.idle, now, false, true)
+			}
 		} else if up {
 			status = router.NeverSent
 		}
@@ -541,14 +550,17 @@
 }
 
 // rest closes a connection that has been idle a little before its peer would: a pull that crosses the peer's
-// close is written whole and may have run, for all that can be known.
+// close is written whole and may have run, for all that can be known. So it is where something on the way lets go of
+// idle connections sooner.
 func (p *Pool) rest(l *link, now float64) {
-	if len(l.open) == 0 && now-l.used > 0.9*p.limits.Idle {
+	if idle := now - l.idleSince(); len(l.open) == 0 && (idle > 0.9*p.limits.Idle || idle > p.reuse.until(now)) {
 		l.retired = true
 		p.tidy(l)
 	}
 }
 
+func (l *link) idleSince() float64 { return max(l.used, l.heard) }
+
 // Conns counts the connections there are.
 func (p *Pool) Conns() int { return len(p.links) }
 
