A second copy of what hangs; errors count once answered elsewhere; router tables give back

Now: where a pull of an object whose time is known takes longer than the target time and half again that time, one second copy is asked of others, if the settings allow and hardly anything else is late. A node that was overtaken is the worse for it. Harm: objects that have grown cost a pull. Also: an error of a retriable download counts against nodes once another pull brings the object, so that made-up objects make no healthy node look ill; pulls never sent count in no lane; nodes gone for a while, and objects nobody asked for in the table's age, are forgotten; a table entry no longer holds on to its last download.

--- a/router/parts.go
+++ b/router/parts.go
@@ -1,5 +1,7 @@
 package router
 
+import "slices"
+
 // The parts' state and the notes they pass; what they do with it stands in router.go.
 
 type part interface{ take(r *Router, n note) }
@@ -15,6 +17,8 @@
 	released
 	ended
 	overdue
+	hung
+	erred
 	due
 	listed
 	probed
@@ -47,6 +51,8 @@
 	late   bool    // out past its target time
 	sent   float64
 	cost   float64 // sending time, of the mean of its type
+	hung   bool    // a second copy was sought as it took long
+	erred  bool    // it ended with an error that counts against nobody yet
 	ask    bool    // for what the source holds, no more
 	last   bool    // nothing healthier is left
 }
@@ -102,7 +108,7 @@
 	return &Router{nodes: map[string]*Node{}, dls: map[string]*Download{}, types: map[string]*Type{},
 		alarms: map[int64]note{}, furthers: NewRing(span, buckets),
 		volume: NewRing(span, buckets), wanted: NewRing(span, buckets), fills: newLane(), asks: newLane(), holders: Holders{entries: map[object]*entry{}},
-		purges: Purges{objects: map[string]float64{}, groups: map[int64]float64{}}}
+		purges: Purges{at: map[any]float64{}}}
 }
 
 // Type is a content type: what may be done with it, and what it was seen to take.
@@ -182,10 +188,59 @@
 	at      float64
 	heat    Ring
 	filling *pull
+	took    float64 // that an edge cache last took to send what it held
+	made    float64 // when it was put at the end of the order
+	used    float64
 }
 
 // Purges remembers what may still be held in copies older than a purge.
 type Purges struct {
-	objects map[string]float64 // when the newest purge was
-	groups  map[int64]float64
+	at map[any]float64 // when the newest purge was, by name of an object or number of a group
+}
+
+func (r *Router) post(n note)  { r.queue = append(r.queue, n) }
+func (r *Router) do(a Action)  { r.out = append(r.out, a) }
+func (r *Router) log(s string) { r.do(Log{Text: s}) }
+
+// both tells the two nodes of a pull, or the one where it has no other source.
+func (r *Router) both(n note) {
+	n.to = n.pull.at
+	r.post(n)
+	if n.pull.source != n.pull.at {
+		n.to = n.pull.source
+		r.post(n)
+	}
+}
+
+func (r *Router) alarm(at float64, n note) {
+	r.token++
+	r.alarms[r.token] = n
+	r.do(Alarm{At: at, Token: r.token})
+}
+
+// asker asks for the list again where a call for it failed.
+type asker struct{}
+
+func (asker) take(r *Router, _ note) { r.do(Watch{}) }
+
+func (r *Router) tier(role role, zone string) []*Node {
+	var in []*Node
+	for _, n := range r.all {
+		if n.state != Gone && n.role == role && (zone == "" || n.zone == zone) {
+			in = append(in, n)
+		}
+	}
+	return in
+}
+
+func (d *Download) waiting() bool {
+	return slices.ContainsFunc(d.pulls, func(p *pull) bool { return p.out })
+}
+
+// part is a node's in the blame for a failure.
+func (p *pull) part(n *Node) float64 {
+	if n == p.at {
+		return 1 - p.blame
+	}
+	return p.blame
 }
--- a/router/router.go
+++ b/router/router.go
@@ -1,12 +1,9 @@
 package router
 
 // Router decides for one gateway: which edge cache a download is pulled from, who fills a miss, whether the
-// copy is kept, and when to pull again, throttle or abandon. A front makes one with New and hands every event
-// to Handle, in order and with its clock; Handle returns the actions to carry out. The types of both are in
-// door.go. Leave Copy Down decides the ordinary path (Download.seek, Holders); docs/design.md tells where and
-// why other code steps in.
-//
-// The parts (Download, Node, Holders, purges) talk only by notes put into inboxes that Handle's loop empties.
+// copy is kept, and when to pull again, throttle or abandon. Leave Copy Down decides the ordinary path
+// (Download.seek, Holders); docs/design.md tells where and why other code steps in. The parts (Download,
+// Node, Holders, purges) talk only by notes in inboxes that the loop of Handle, the door, empties.
 
 import (
 	"cmp"
@@ -16,10 +13,8 @@
 	"slices"
 )
 
-const (
-	span    = 4000.0 // ms over which nodes are judged: some dozen pulls a node, yet a crash shows within it
-	buckets = 8      // of time in that span
-)
+// span is the ms over which nodes are judged, in so many buckets: some dozen pulls each, yet a crash shows.
+const span, buckets = 4000.0, 8
 
 // Handle is the door: ids become objects here, and the one loop empties all inboxes.
 func (r *Router) Handle(now float64, e Event) []Action {
@@ -64,16 +59,6 @@
 	return r.out
 }
 
-func (r *Router) post(n note)  { r.queue = append(r.queue, n) }
-func (r *Router) do(a Action)  { r.out = append(r.out, a) }
-func (r *Router) log(s string) { r.do(Log{Text: s}) }
-
-func (r *Router) alarm(at float64, n note) {
-	r.token++
-	r.alarms[r.token] = n
-	r.do(Alarm{At: at, Token: r.token})
-}
-
 func (r *Router) start(e Started) {
 	r.foot, r.born, r.chance = e.Footprint, r.now, Chance(e.Seed|1)
 	here := slices.Index(r.foot.list("zones"), any(r.foot.text("zone")))
@@ -81,10 +66,9 @@
 	for i := range r.foot.list("types") {
 		t := &Type{name: r.foot.textAt("types", i), repeat: r.foot.textAt("repeat", i),
 			scope: r.foot.textAt("dedupe group", i), window: r.foot.numAt("dedupe window", i),
-			fresh: r.foot.numAt("fresh", i), grace: r.foot.numAt("grace", i),
-			target: r.foot.numAt("target", i), stretch: r.foot.numAt("stretch", i),
-			benefit: cmp.Or(max(0, r.foot.numAt("benefit", i)), 1),
-			write:   r.foot.flagAt("writes", i), count: NewRing(4*span, buckets), time: NewRing(4*span, buckets)}
+			fresh: r.foot.numAt("fresh", i), grace: r.foot.numAt("grace", i), target: r.foot.numAt("target", i),
+			stretch: r.foot.numAt("stretch", i), benefit: cmp.Or(max(0, r.foot.numAt("benefit", i)), 1),
+			write: r.foot.flagAt("writes", i), count: NewRing(4*span, buckets), time: NewRing(4*span, buckets)}
 		r.types[t.name] = t
 	}
 	if r.foot.text("list") == "asked" {
@@ -98,6 +82,14 @@
 		return
 	}
 	named := map[string]bool{}
+	// Lists bring new nodes all day. What comes back sooner than this still bears what was asked of it.
+	r.all = slices.DeleteFunc(r.all, func(n *Node) bool {
+		old := n.state == Gone && r.now > n.since+4*span+r.foot.num("fall time")
+		if old {
+			delete(r.nodes, n.id)
+		}
+		return old
+	})
 	for _, entry := range e.Entries {
 		named[entry.Node] = true
 		n := r.nodes[entry.Node]
@@ -116,11 +108,6 @@
 	}
 }
 
-// asker asks for the list again where a call for it failed.
-type asker struct{}
-
-func (asker) take(r *Router, _ note) { r.do(Watch{}) }
-
 // sending is the mean time to send one of this type, unloaded; half its target time until some were seen.
 func (t *Type) sending(now float64) float64 {
 	if n := t.count.Sum(now); n > 0 {
@@ -147,16 +134,6 @@
 	return nodes
 }
 
-func (r *Router) tier(role role, zone string) []*Node {
-	var in []*Node
-	for _, n := range r.all {
-		if n.state != Gone && n.role == role && (zone == "" || n.zone == zone) {
-			in = append(in, n)
-		}
-	}
-	return in
-}
-
 func (r *Router) arrive(e Arrived) {
 	t := r.types[e.Type]
 	if t == nil {
@@ -198,6 +175,13 @@
 
 func (d *Download) take(r *Router, n note) {
 	switch n.topic {
+	case hung:
+		// Its answer may never come: others are asked for a second copy, while such are few and hardly anything
+		// is late, as in a jam all take long. It harms where an object has grown, by one pull.
+		few := r.furthers.Sum(r.now) < 0.02*r.volume.Sum(r.now) && r.fills.calm(r) && n.pull.at.asked.calm(r)
+		if n.pull.hung = few && n.pull.out && !d.done && len(d.pulls) == 1; n.pull.hung {
+			d.seek(r)
+		}
 	case declined:
 		d.no = append(d.no, n.from)
 		d.seek(r)
@@ -225,10 +209,6 @@
 	}
 }
 
-func (d *Download) waiting() bool {
-	return slices.ContainsFunc(d.pulls, func(p *pull) bool { return p.out })
-}
-
 // free tells whether a pull may go to a node without an effect happening twice.
 func (d *Download) free(r *Router, to *Node) bool {
 	for _, p := range d.pulls {
@@ -374,6 +354,10 @@
 	size := cmp.Or(d.size, 0.75*d.typ.quiet) // most are smaller than the mean of sizes that differ much
 	// What hangs would else be seen only at the expiry, seconds after the peers have answered.
 	r.alarm(r.now+d.typ.target+d.typ.stretch*size, note{to: d, topic: overdue, pull: p})
+	if e := r.holders.entries[d.key]; e != nil && e.took > 0 && r.foot.flag("second copies") &&
+		d.typ.repeat == "retriable" {
+		r.alarm(r.now+d.typ.target+1.5*e.took, note{to: d, topic: hung, pull: p})
+	}
 	d.pulls, d.no, d.last = append(d.pulls, p), nil, false
 	r.do(a)
 }
@@ -387,28 +371,33 @@
 
 func (d *Download) end(r *Router, p *pull, e Ended) {
 	p.out = false
+	// An error counts once another pull brings the object: what all answer so, as a made-up one, is nobody's.
+	for _, q := range d.pulls {
+		if q.erred && e.Status == Fulfilled {
+			q.erred = false
+			r.both(note{topic: erred, pull: q})
+		}
+	}
+	p.erred = e.Status == Failed && !p.late && d.typ.repeat == "retriable"
 	// Answers don't tell whose fault a failure is: it is shared by what else each of the two has failed. A
 	// connection that fails or breaks is the asked node's.
 	if at, source := p.at.share(r.now), p.source.share(r.now); e.Status != NotConnected && e.Status != Broken {
 		p.blame = source / (at + source)
 	}
 	p.may = !slices.Contains([]Status{TurnedAway, NotConnected, NeverSent, Missed}, e.Status)
-	r.post(note{to: p.at, topic: ended, pull: p, event: e})
-	if p.source != p.at {
-		r.post(note{to: p.source, topic: ended, pull: p, event: e})
-	}
-	if e.Status == Fulfilled && !d.write {
+	r.both(note{topic: ended, pull: p, event: e})
+	if !d.write {
 		r.post(note{to: &r.holders, topic: learned, pull: p, event: e})
-		if d.size == 0 && (e.Note == Held || e.Note == NotTold) {
-			d.typ.count.Add(r.now, 1)
-			d.typ.time.Add(r.now, e.Took)
-			// What is late is told from the quietest times, not of a few: a jam must not raise its own bar.
-			mean := d.typ.sending(r.now)
-			if d.typ.seen++; d.typ.seen < 50 || mean < d.typ.quiet {
-				d.typ.quiet = mean
-			}
-			d.typ.quiet += (mean - d.typ.quiet) / 1000
+	}
+	if e.Status == Fulfilled && !d.write && d.size == 0 && (e.Note == Held || e.Note == NotTold) {
+		d.typ.count.Add(r.now, 1)
+		d.typ.time.Add(r.now, e.Took)
+		// What is late is told from the quietest times, not of a few: a jam must not raise its own bar.
+		mean := d.typ.sending(r.now)
+		if d.typ.seen++; d.typ.seen < 50 || mean < d.typ.quiet {
+			d.typ.quiet = mean
 		}
+		d.typ.quiet += (mean - d.typ.quiet) / 1000
 	}
 	if e.Closed {
 		d.finish(r)
@@ -428,6 +417,9 @@
 // giveUp is the final answer where no pull will bring one. A throttling reply promises that trying again does
 // no harm, so it needs every pull known not to have run, or a type for which that does not matter.
 func (d *Download) giveUp(r *Router) {
+	if d.waiting() {
+		return // there was no room for a second copy
+	}
 	harmless := d.typ.repeat == "retriable" || d.typ.repeat == "deduped" && d.typ.scope == "all"
 	if harmless || !slices.ContainsFunc(d.pulls, func(p *pull) bool { return p.may }) {
 		// What comes back within a tenth of its target time may still be answered in it; later it cannot.
@@ -485,6 +477,9 @@
 		// counts half a failure, as large objects are overdue too.
 		n.bad.Add(r.now, 0.5)
 		n.judge(r)
+	case erred:
+		n.bad.Add(r.now, m.pull.part(n))
+		n.judge(r)
 	case probed:
 		n.probed(r, m.event.(Probed))
 	case due:
@@ -498,7 +493,7 @@
 
 func (n *Node) list(r *Router, e Entry) {
 	if e.State == Gone {
-		n.state = Gone
+		n.state, n.since = Gone, r.now
 		return
 	}
 	if n.state == Gone || n.booted != e.Booted {
@@ -512,18 +507,15 @@
 		n.spent = NewRing(max(1, r.foot.num("fall time"))*1.1, 11)
 	}
 	n.kind, n.zone, n.cell, n.weight, n.booted, n.state = e.Kind, e.Zone, e.Cell, e.Weight, e.Booted, e.State
-	n.role = edge
-	if i := slices.Index(r.foot.list("kinds"), any(e.Kind)); i >= 0 {
-		if i == int(r.foot.num("parent kind")) {
-			n.role = parent
-		} else if i == int(r.foot.num("origin kind")) {
-			n.role = origin
-		}
+	switch n.role = edge; slices.Index(r.foot.list("kinds"), any(e.Kind)) {
+	case int(r.foot.num("parent kind")):
+		n.role = parent
+	case int(r.foot.num("origin kind")):
+		n.role = origin
 	}
 }
 
-// warmth is the least part of its capacity that a node that started lately can give: from what it had a
-// window ago, on the slowest warming allowed.
+// warmth is the least part of its capacity that a node started lately had a window ago, warming slowest.
 func (n *Node) warmth(r *Router) float64 {
 	from, time := r.foot.num("cold share"), r.foot.num("cold time")
 	if n.role == parent {
@@ -608,6 +600,7 @@
 }
 
 func (l *Lane) troubled(r *Router) bool { return l.late.Sum(r.now) > 0.5+0.25*l.all.Sum(r.now) }
+func (l *Lane) calm(r *Router) bool     { return l.late.Sum(r.now) < 0.1*l.all.Sum(r.now) }
 
 const laneLeast = 6 // pulls out that are no queue, of all gateways at a location together
 
@@ -642,21 +635,16 @@
 	untold := e.Note == NotTold && e.Status != TurnedAway && r.foot.text("notes") == "none"
 	if n != p.at || p.source == p.at || e.Note == Held || untold {
 		lane.judge(r, p.late || e.Status == TurnedAway)
-		if e.Status != Fulfilled && e.Status != Missed {
+		if e.Status != Fulfilled && e.Status != Missed && e.Status != NeverSent {
 			lane.failed.Add(r.now, 1)
 		}
 	}
-	if !p.late || n == p.at {
-		switch e.Status {
-		case Fulfilled, Missed:
-			n.good.Add(r.now, 1)
-		case Failed, TimedOut, NotConnected, Broken, TurnedAway:
-			blame := p.blame
-			if n == p.at {
-				blame = 1 - blame
-			}
-			n.bad.Add(r.now, blame)
-		}
+	switch {
+	case p.late && n != p.at || p.erred:
+	case e.Status == Fulfilled, e.Status == Missed:
+		n.good.Add(r.now, 1)
+	case e.Status != NeverSent && (e.Status != CalledOff || p.hung): // a hung one is overtaken by a second copy
+		n.bad.Add(r.now, p.part(n))
 	}
 	n.judge(r)
 }
@@ -729,11 +717,17 @@
 		e = &entry{key: d.key, group: d.group, heat: NewRing(heatSpan, 4)}
 		h.entries[d.key] = e
 		h.order = append(h.order, e)
-		for len(h.entries) > holdersMost {
-			delete(h.entries, h.order[0].key)
-			h.order = h.order[1:]
+		e.made, e.used = r.now, r.now
+		for old := h.order[0]; old.made < r.now-holdersAge || len(h.order) > holdersMost; old = h.order[0] {
+			// What nobody asked for while a parent may hold it goes; the rest starts anew at the end.
+			if h.order = h.order[1:]; old.used < r.now-holdersAge || len(h.order) >= holdersMost {
+				delete(h.entries, old.key)
+			} else {
+				old.made, h.order = r.now, append(h.order, old)
+			}
 		}
 	}
+	e.used = r.now
 	return e
 }
 
@@ -770,9 +764,14 @@
 	}
 	switch e := n.event.(type) {
 	case Ended:
-		if p := n.pull; p.source.role == parent && e.Note != Held && e.Note != HeldOld {
-			entry := h.get(r, p.dl)
-			entry.parent, entry.at = p.source, r.now
+		entry := h.get(r, n.pull.dl)
+		if entry.filling == n.pull {
+			entry.filling = nil
+		}
+		if e.Status == Fulfilled && e.Note == Held {
+			entry.took = e.Took
+		} else if e.Status == Fulfilled && n.pull.source.role == parent && e.Note != HeldOld {
+			entry.parent, entry.at = n.pull.source, r.now
 		}
 	case Purged:
 		for _, entry := range h.order {
@@ -787,22 +786,19 @@
 
 func (p *Purges) take(r *Router, n note) {
 	e := n.event.(Purged)
-	at := r.now - e.Age
+	var of any = e.Object
 	if e.Object == "" {
-		p.groups[e.Group] = max(at, p.groups[e.Group])
-	} else {
-		p.objects[e.Object] = max(at, p.objects[e.Object])
+		of = e.Group
 	}
+	p.at[of] = max(r.now-e.Age, p.at[of])
 	settled := r.now - r.foot.num("purge settles") - 100*purgeMargin
-	maps.DeleteFunc(p.objects, func(_ string, at float64) bool { return at < settled })
-	maps.DeleteFunc(p.groups, func(_ int64, at float64) bool { return at < settled })
+	maps.DeleteFunc(p.at, func(_ any, at float64) bool { return at < settled })
 }
 
-// limit is the oldest copy that a pull may be answered from; 0, which leaves it to the type, only where no
-// purge is in force.
+// limit is the oldest copy that a pull may be answered from; 0, the type's own, where no purge is in force.
 func (p *Purges) limit(r *Router, d *Download) float64 {
-	at, ok := p.objects[d.key.name]
-	if g, also := p.groups[d.group]; also && (!ok || g > at) {
+	at, ok := p.at[d.key.name]
+	if g, also := p.at[d.group]; also && (!ok || g > at) {
 		at, ok = g, true
 	}
 	if !ok || at < r.now-r.foot.num("purge settles")-100*purgeMargin {
--- a/router/trouble_test.go
+++ b/router/trouble_test.go
@@ -161,3 +161,138 @@
 		t.Errorf("not purged: %+v, want a copy kept", p)
 	}
 }
+
+// known answers downloads of an object as held at the edge, so that its time is known, and then asks for it again.
+func known(g *rig, f Footprint) (Pull, []Alarm) {
+	g.r = started(f)
+	for i := range 20 {
+		a := video(fmt.Sprint("first", i))
+		for _, p := range find[Pull](g.r.Handle(float64(10*i), a)) {
+			note := Held
+			if i < 5 {
+				note = FilledBySource
+			}
+			g.r.Handle(float64(10*i+5), Ended{ID: p.ID, Status: Fulfilled, Note: note, Took: 40, Closed: true})
+		}
+	}
+	again := video("again")
+	actions := g.r.Handle(1000, again)
+	return find[Pull](actions)[0], find[Alarm](actions)
+}
+
+// A pull that takes much longer than its object did before gets one second copy elsewhere, where that is allowed; the
+// first answer is the one, and a hung node is the worse for being overtaken.
+func TestSecondCopy(t *testing.T) {
+	for _, allowed := range []bool{true, false} {
+		f := foot()
+		f["second copies"] = allowed
+		g := newRig()
+		first, bells := known(g, f)
+		var second []Pull
+		for _, b := range bells {
+			if b.At <= 1000+600+1.5*40 {
+				second = append(second, find[Pull](g.r.Handle(b.At, Rang{Token: b.Token}))...)
+			}
+		}
+		if len(second) > 1 || (len(second) == 1) != allowed || allowed && second[0].Node == first.Node {
+			t.Fatalf("allowed %v: %d second copies: %+v", allowed, len(second), second)
+		}
+		if !allowed {
+			continue
+		}
+		actions := g.r.Handle(1700, Ended{ID: "again", Pull: 1, Status: Fulfilled, Note: Held, Took: 40, Closed: true})
+		if off := find[CallOff](actions); len(off) != 1 || off[0].Pull != 0 {
+			t.Errorf("called off: %+v", off)
+		}
+		g.r.Handle(1701, Ended{ID: "again", Pull: 0, Status: CalledOff, Took: 700, Closed: true})
+		if n := g.r.nodes[first.Node]; n.bad.Sum(1701) == 0 || n.asked.out != 0 || len(g.r.dls) != 0 {
+			t.Errorf("the node overtaken: %.1f bad, %d out", n.bad.Sum(1701), n.asked.out)
+		}
+		// One that has no room for its second copy waits on for its first.
+		g.r.Handle(2000, Listed{Entries: []Entry{{Node: second[0].Node, Kind: "box", Zone: "club", Weight: 10, State: Draining}}})
+		for _, b := range find[Alarm](g.r.Handle(2000, video("alone"))) {
+			if got := g.r.Handle(b.At, Rang{Token: b.Token}); len(find[Throttle](got))+len(find[Abandon](got)) > 0 {
+				t.Errorf("given up while its pull is out: %+v", got)
+			}
+		}
+	}
+}
+
+// What no cache knows is answered with errors by all: they are none the worse for it, whoever asks on.
+func TestBadObjects(t *testing.T) {
+	g := newRig()
+	g.life(1, well)
+	for i := range 200 {
+		a := video(fmt.Sprint("bad", i))
+		a.Object = fmt.Sprint("made up", i)
+		g.now += 2
+		for pulls, n := find[Pull](g.r.Handle(g.now, a)), 0; len(pulls) > 0; n++ {
+			pulls = find[Pull](g.r.Handle(g.now, Ended{ID: a.ID, Pull: n, Status: Failed, Took: 1}))
+		}
+	}
+	for _, n := range g.r.all {
+		if n.standing != trusted || n.bad.Sum(g.now) > 0 {
+			t.Errorf("%s: %.1f bad of %.1f, standing %d", n.id, n.bad.Sum(g.now), n.bad.Sum(g.now)+n.good.Sum(g.now), n.standing)
+		}
+	}
+}
+
+// A pull that was never sent says nothing of any node.
+func TestNeverSent(t *testing.T) {
+	g := newRig()
+	for i := range 100 {
+		a := video(fmt.Sprint(i))
+		for pulls, n := find[Pull](g.r.Handle(float64(i), a)), 0; len(pulls) > 0; n++ {
+			pulls = find[Pull](g.r.Handle(float64(i), Ended{ID: a.ID, Pull: n, Status: NeverSent}))
+		}
+	}
+	for _, n := range g.r.all {
+		if n.bad.Sum(100) != 0 || n.asked.out != 0 {
+			t.Errorf("%s: %.1f bad, %d out", n.id, n.bad.Sum(100), n.asked.out)
+		}
+	}
+	if r := g.r; r.fills.failed.Sum(100) != 0 || r.fills.out != 0 {
+		t.Errorf("fills: %.0f failed, %d out", r.fills.failed.Sum(100), r.fills.out)
+	}
+}
+
+// All day new nodes come and go, and new objects are asked for once: the tables give back what nobody names any more.
+// A node at a gone one's place starts from nothing.
+func TestLongDay(t *testing.T) {
+	r := started(foot())
+	now := 0.0
+	for i := range 3000 {
+		now += 100
+		if i%10 == 0 {
+			fresh := Entry{Node: fmt.Sprint("n", i), Kind: "box", Zone: "club", Weight: 10, Booted: now}
+			gone := Entry{Node: fmt.Sprint("n", i-10), State: Gone}
+			r.Handle(now, Listed{Entries: []Entry{fresh, gone}})
+			if n := r.nodes[fresh.Node]; n.bad.Sum(now)+n.good.Sum(now)+n.spent.Sum(now) != 0 || n.asked.out != 0 {
+				t.Fatalf("%s starts with %v", n.id, n)
+			}
+		}
+		a := video(fmt.Sprint(i))
+		a.Object, a.Expiry = fmt.Sprint("once", i), now+1000
+		pulls := find[Pull](r.Handle(now, a))
+		if len(pulls) != 1 {
+			t.Fatalf("%d pulls", len(pulls))
+		}
+		for n, p := range pulls {
+			for token := range r.alarms {
+				r.Handle(now, Rang{Token: token})
+			}
+			r.Handle(now+50, Ended{ID: p.ID, Pull: n, Status: Fulfilled, Note: FilledBySource, Took: 50, Closed: true})
+		}
+	}
+	if len(r.nodes) > 30 || len(r.all) != len(r.nodes) || len(r.holders.entries) > 700 || len(r.holders.order) != len(r.holders.entries) {
+		t.Errorf("%d and %d nodes, %d and %d objects are remembered", len(r.nodes), len(r.all), len(r.holders.entries), len(r.holders.order))
+	}
+	if len(r.dls)+len(r.alarms) != 0 {
+		t.Errorf("%d downloads and %d alarms are left over", len(r.dls), len(r.alarms))
+	}
+	for _, e := range r.holders.entries {
+		if e.filling != nil {
+			t.Fatal("a table entry holds on to a download that has ended")
+		}
+	}
+}
