--- a/internal/caches/pool.go
+++ b/internal/caches/pool.go
@@ -561,6 +561,20 @@
 
 func (l *link) idleSince() float64 { return max(l.used, l.heard) }
 
+// Open counts the pulls that are open at a node.
+func (p *Pool) Open(id string) (open int) {
+	if n := p.nodes[id]; n != nil {
+		for _, l := range n.links {
+			for tag := range l.open {
+				if p.probes[tag] == nil {
+					open++
+				}
+			}
+		}
+	}
+	return open
+}
+
 // Conns counts the connections there are.
 func (p *Pool) Conns() int { return len(p.links) }
 
--- a/internal/gateway/core.go
+++ b/internal/gateway/core.go
@@ -199,6 +199,20 @@
 	g.event(router.Left{ID: d.id})
 }
 
+// Drift writes down what the router holds of each node beside what is open on the sockets, and tells whether the two
+// agree: lanes and budgets go by what the router believes.
+func (g *Core) Drift() (text string, drifts bool) {
+	for _, b := range g.router.Beliefs() {
+		open := g.pool.Open(b.Node)
+		drifts = drifts || b.Out != open
+		if b.Out != open || b.Aside || b.Warm < 1 {
+			text += fmt.Sprintf("%s out %d of %d aside %t warm %.2f bad %.1f of %.1f; ", b.Node, b.Out, open, b.Aside, b.Warm,
+				b.Bad, b.Good+b.Bad)
+		}
+	}
+	return text, drifts
+}
+
 // End answers all that is still open, and turns away what comes after it.
 func (g *Core) End(now float64) {
 	g.Ring(now)
--- a/internal/gateway/core_test.go
+++ b/internal/gateway/core_test.go
@@ -310,6 +310,10 @@
 		r, w := rand.New(rand.NewSource(seed)), newWorld(t)
 		for range 400 {
 			w.step(r)
+			if text, drifts := w.core.Drift(); drifts {
+				w.fault("the router's beliefs drift: %s", text)
+				break
+			}
 		}
 		if r.Intn(2) == 0 {
 			w.core.End(w.now)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -214,6 +214,11 @@
 
 func (l *loop) count() {
 	c, p := l.core.Counters, l.pool
+	text, drifts := l.core.Drift()
+	assert.That(!drifts, "the router's pulls out are those that are open")
+	if text != "" {
+		l.log.WithField("nodes", text).Info("beliefs")
+	}
 	l.log.WithFields(logrus.Fields{
 		"taken": c.Taken, "fulfilled": c.Fulfilled, "kept": c.Kept, "throttled": c.Throttled,
 		"abandoned": c.Abandoned, "left": c.Left, "refused": c.Refused, "turned": c.Turned, "overdue": c.Overdue,
--- a/router/door.go
+++ b/router/door.go
@@ -109,6 +109,15 @@
 	Booted           float64 // when its process last started; 0: long ago
 }
 
+// Belief is what a router holds of a node, for people and for checks against what is so. Load reports are not used.
+type Belief struct {
+	Node      string
+	Out       int // pulls asked of it that have not ended
+	Aside     bool
+	Warm      float64 // the share of its capacity that it is trusted with
+	Good, Bad float64 // of its pulls lately
+}
+
 // Scope tells what a Listed changes.
 type Scope int
 
--- a/router/parts.go
+++ b/router/parts.go
@@ -244,3 +244,12 @@
 	}
 	return p.blame
 }
+
+// Beliefs tells what is held of each node listed, by id.
+func (r *Router) Beliefs() (all []Belief) {
+	for _, n := range r.all {
+		all = append(all, Belief{Node: n.id, Out: n.asked.out, Aside: n.standing == aside, Warm: n.warmth(r),
+			Good: n.good.Sum(r.now), Bad: n.bad.Sum(r.now)})
+	}
+	return all
+}
