--- a/router/router.go
+++ b/router/router.go
@@ -36,6 +36,8 @@
 		}
 	case Left:
 		if d := r.dls[e.ID]; d != nil {
+			// While fills are late, what its client left goes on: asked again it would begin anew and never come.
+			d.streaming = d.streaming || !d.write && r.peers < 3 && !r.fills.calm(r)
 			d.finish(r)
 		}
 	case Rang:
@@ -379,8 +381,7 @@
 		}
 	}
 	p.erred = e.Status == Failed && !p.late && d.typ.repeat == "retriable"
-	// Answers don't tell whose fault a failure is: it is shared by what else each of the two has failed. A
-	// connection that fails or breaks is the asked node's.
+	// Answers don't tell whose fault a failure is: what else each failed tells. A break is the asked node's.
 	if at, source := p.at.share(r.now), p.source.share(r.now); e.Status != NotConnected && e.Status != Broken {
 		p.blame = source / (at + source)
 	}
@@ -473,8 +474,7 @@
 	case ended:
 		n.end(r, m.pull, m.event.(Ended))
 	case overdue:
-		// Only a source is judged by it: an edge cache that is slow still holds copies that no other has. It
-		// counts half a failure, as large objects are overdue too.
+		// Only sources are judged by it, by half: a slow edge still holds copies, large objects are overdue too.
 		n.bad.Add(r.now, 0.5)
 		n.judge(r)
 	case erred:
--- a/router/trouble_test.go
+++ b/router/trouble_test.go
@@ -296,3 +296,28 @@
 		}
 	}
 }
+
+// While fills are late, what a client has left goes on, so that it is there when asked for again; in calm it is
+// called off, as is a write at any time.
+func TestLeft(t *testing.T) {
+	for _, c := range []struct {
+		took float64
+		typ  string
+		off  int
+	}{{30, "video", 1}, {2000, "video", 0}, {2000, "sale", 1}} {
+		g := newRig()
+		g.life(4, func(p Pull) (Status, Note, float64) { return Fulfilled, FilledBySource, c.took })
+		a := video("left")
+		a.Type, a.Object, a.Expiry = c.typ, "new", g.now+3000
+		if pulls := find[Pull](g.r.Handle(g.now, a)); len(pulls) != 1 {
+			t.Fatalf("%d pulls", len(pulls))
+		}
+		if off := find[CallOff](g.r.Handle(g.now+50, Left{ID: "left"})); len(off) != c.off {
+			t.Errorf("%s, fills take %.0f ms: %d called off", c.typ, c.took, len(off))
+		}
+		g.r.Handle(g.now+100, Ended{ID: "left", Status: Fulfilled, Note: FilledByOrigin, Took: 100, Closed: true})
+		if g.r.dls["left"] != nil {
+			t.Error("it is never forgotten")
+		}
+	}
+}
