What has just come keeps its place; nothing queued goes out after its client left; rounded times

Now what had a quarter of a second and said nothing goes first, then the longest idle, last what has just come; a tenth past the longest expiry is let through.

--- a/internal/caches/pool.go
+++ b/internal/caches/pool.go
@@ -311,6 +311,14 @@
 	p.tidy(l)
 }
 
+// Recall takes back a pull that still waits to be written.
+func (p *Pool) Recall(q *Pull, now float64) {
+	if !q.done && q.link.wire.Remove(q.item) {
+		p.end(q, End{Status: router.NeverSent, At: now})
+		p.tidy(q.link)
+	}
+}
+
 // Withdraw takes back what still waits to be written, as on a connection that is slow to come up, of the pulls
 // named: word of a drain or a purge binds it too. It never ran, and may go out anew at once.
 func (p *Pool) Withdraw(named func(*Pull) bool, now float64) {
--- a/internal/clients/serve.go
+++ b/internal/clients/serve.go
@@ -40,6 +40,7 @@
 const (
 	pointWithin = 2000.0
 	askAgain    = 5000.0
+	young       = 250.0 // its first request may still be on its way
 	sweepEvery  = 250 * time.Millisecond
 )
 
@@ -93,8 +94,9 @@
 }
 
 // room finds a place for a newcomer, which most likely is about to ask: the least useful connection without a whole
-// request goes for it, one that never asked anything that could be used before one that did, then the longest idle.
-// What comes in a flood may not have been read yet, so the readers get their turn first.
+// request goes for it. First goes what had time and asked nothing that could be used, then the longest idle, and last
+// what has only just come: it is likely to be a client's whose request is on its way, and would be lost by it. What
+// comes in a flood may not have been read yet, so the readers get their turn first.
 func (s *Server) room() bool {
 	s.mu.Lock()
 	full := len(s.conns) >= s.Most
@@ -105,12 +107,17 @@
 	runtime.Gosched()
 	s.mu.Lock()
 	var least *Conn
-	useful, since := true, 0.0
+	now, rank, since := s.Now(), 0, 0.0
 	for c := range s.conns {
 		c.mu.Lock()
-		if c.idle() && (least == nil || useful && !c.useful ||
-			useful == c.useful && c.since < since) {
-			least, useful, since = c, c.useful, c.since
+		own := 1
+		if !c.useful && now-c.since > young {
+			own = 0
+		} else if !c.useful {
+			own = 2
+		}
+		if c.idle() && (least == nil || own < rank || own == rank && c.since < since) {
+			least, rank, since = c, own, c.since
 		}
 		c.mu.Unlock()
 	}
--- a/internal/gateway/core.go
+++ b/internal/gateway/core.go
@@ -326,6 +326,11 @@
 	d.answered = true
 	g.owed(d)
 	g.event(router.Left{ID: d.id})
+	for _, p := range d.pulls { // what the router lets go on may be out, but nothing is sent after the end
+		if p.wire != nil {
+			g.pool.Recall(p.wire, g.now)
+		}
+	}
 }
 
 const health = "/_health"
@@ -391,6 +396,7 @@
 	if _, told := params["HTTP_X_MINE"]; told && !hex(d.mine) {
 		return nil, fmt.Errorf("X-Mine: %.80q", d.mine)
 	}
+	// Clients' time is rounded, and so is the settings': a tenth more than the longest expiry is still no mistake.
 	most := int64(1<<31 - 1) // of parts, as far as anybody can tell here
 	if !typ.Parts {
 		most = 0
@@ -400,7 +406,7 @@
 		field, param string
 		most         int64
 		to           *int64
-	}{{"X-Allow-Ms", "HTTP_X_ALLOW_MS", int64(typ.Expiry), &allow}, {"X-N", "HTTP_X_N", most, &d.part},
+	}{{"X-Allow-Ms", "HTTP_X_ALLOW_MS", int64(1.1 * typ.Expiry), &allow}, {"X-N", "HTTP_X_N", most, &d.part},
 		{"X-Shard", "HTTP_X_SHARD", 255, &d.group}} {
 		if *n.to, ok = number(params[n.param], n.most); !ok {
 			return nil, fmt.Errorf("%s: %.80q", n.field, params[n.param])
