--- /dev/null
+++ b/cmd/poppymill/get.go
@@ -0,0 +1,73 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"poppymill/internal/clients"
+)
+
+func getCommand() *cli.Command {
+	return &cli.Command{Name: "get", Usage: "ask a gateway for one part of an object", ArgsUsage: "OBJECT",
+		Description: "OBJECT is 16 hex digits, or any name, which is hashed to some. The body goes to standard " +
+			"output, what the answer says of itself to standard error.",
+		Action: get, Flags: []cli.Flag{
+			&cli.StringFlag{Name: "at", Usage: "`ADDRESS` of the gateway", Value: "127.0.0.1:9000"},
+			&cli.StringFlag{Name: "type", Usage: "content `TYPE`", Value: "video"},
+			&cli.IntFlag{Name: "part", Usage: "`NUMBER` of the part, from 0"},
+			&cli.IntFlag{Name: "group", Usage: "`NUMBER` of the object's group, 0 to 255"},
+			&cli.DurationFlag{Name: "within", Usage: "how long to wait for the answer", Value: 2 * time.Second},
+			&cli.StringFlag{Name: "mine", Usage: "`TAG` of the copy that you hold"},
+			&cli.StringFlag{Name: "body", Usage: "`TEXT` to send, for types that write"},
+		}}
+}
+
+func get(ctx context.Context, cmd *cli.Command) error {
+	object := cmd.Args().First()
+	if object == "" {
+		return errors.New("get: no OBJECT named")
+	}
+	if _, err := strconv.ParseUint(object, 16, 64); err != nil || len(object) != 16 {
+		h := fnv.New64a()
+		h.Write([]byte(object))
+		object = fmt.Sprintf("%016x", h.Sum64())
+	}
+	within := cmd.Duration("within")
+	ctx, cancel := context.WithTimeout(ctx, within+time.Second)
+	defer cancel()
+	params := map[string]string{
+		"SCRIPT_NAME":     "/invoke/" + cmd.String("type"),
+		"HTTP_X_JOB_ID":   fmt.Sprintf("%016x", rand.Uint64()),
+		"HTTP_X_ALLOW_MS": strconv.FormatInt(within.Milliseconds(), 10),
+		"HTTP_X_ITEM":     object,
+		"HTTP_X_N":        strconv.Itoa(cmd.Int("part")),
+		"HTTP_X_SHARD":    strconv.Itoa(cmd.Int("group")),
+	}
+	if mine := cmd.String("mine"); mine != "" {
+		params["HTTP_X_MINE"] = mine
+	}
+	start := time.Now()
+	r, err := clients.Get(ctx, cmd.String("at"), params, []byte(cmd.String("body")))
+	if err != nil {
+		return fmt.Errorf("get: %w", err)
+	}
+	fmt.Fprintf(os.Stderr, "%s: status %d, %d bytes in %v\n", object, r.Status, len(r.Body),
+		time.Since(start).Round(100*time.Microsecond))
+	for _, name := range []string{"X-Still", "X-Wait-Ms"} {
+		if v := r.Fields[name]; v != "" {
+			fmt.Fprintf(os.Stderr, "%s: %s\n", name, v)
+		}
+	}
+	if _, err = os.Stdout.Write(r.Body); err == nil && r.Status != 200 {
+		err = fmt.Errorf("get: not fulfilled, status %d", r.Status)
+	}
+	return err
+}
--- a/internal/gateway/reload.go
+++ b/internal/gateway/reload.go
@@ -10,12 +10,19 @@
 
 	"poppymill/internal/channel"
 	"poppymill/internal/footprint"
+	"poppymill/internal/operator"
 )
 
 // Reloads tells a running gateway when to read its configuration again, and how.
 type Reloads struct {
 	Wanted <-chan os.Signal
-	Load   func() (*footprint.Config, error)
+	Load   func() (Setup, error)
+}
+
+// Setup is all that a gateway goes by: what the platform tells it, and what its operator does.
+type Setup struct {
+	Config   *footprint.Config
+	Operator *operator.Settings
 }
 
 // reloader takes up what a new configuration changes. It is no part of the core: no download notices.
@@ -24,6 +31,7 @@
 	running       *footprint.Config // as started
 	follower      *channel.Follower
 	log           logrus.FieldLogger
+	operator      atomic.Pointer[operator.Settings]
 	done, misread atomic.Int64
 }
 
@@ -36,12 +44,14 @@
 			return
 		case <-r.Wanted:
 		}
-		c, err := r.Load()
+		s, err := r.Load()
 		if err != nil {
 			r.misread.Add(1)
 			r.log.WithError(err).Error("the new configuration can't be used: the old one goes on")
 			continue
 		}
+		c := s.Config
+		r.operator.Store(s.Operator)
 		r.follower.Move(channel.Place{Address: c.Channel, Known: c.Known})
 		r.done.Add(1)
 		log := r.log.WithField("channel", c.Channel)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net"
@@ -40,7 +41,7 @@
 	inboxMost  = 1024
 	watchEvery = 100.0  // ms between looks for mute connections
 	tidyEvery  = 1000.0 // and for idle ones
-	countEvery = 10     // of those between lines of counters
+	countEvery = 10_000.0
 )
 
 // clock is the one clock of a gateway: monotonic, anchored at the Unix time of its start.
@@ -77,7 +78,8 @@
 }
 
 // Serve runs a gateway until the context ends, and then until all that it has taken is answered.
-func Serve(ctx context.Context, c *footprint.Config, reloads Reloads, log logrus.FieldLogger) error {
+func Serve(ctx context.Context, s Setup, reloads Reloads, log logrus.FieldLogger) error {
+	c := s.Config
 	listener, err := net.Listen("tcp", c.Listen)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
@@ -103,10 +105,11 @@
 	defer unfollow()
 	g.Go(func() error { follower.Run(following); return nil })
 	reload := &reloader{Reloads: reloads, running: c, follower: follower, log: log}
+	reload.operator.Store(s.Operator)
 	g.Go(func() error { reload.run(following); return nil })
 	g.Go(func() error { return server.Serve(following, listener) })
 	l := &loop{core: core, pool: pool, poster: p, clock: clock, log: log, buffers: buffers, reads: reads, server: server,
-		listener: listener, reload: reload}
+		listener: listener, reload: reload, counted: clock.now()}
 	log.WithFields(logrus.Fields{"name": c.Name, "listen": c.Listen, "nodes": len(core.addresses)}).Info("ready")
 	l.run(ctx)
 	core.End(clock.now())
@@ -147,7 +150,7 @@
 	reload   *reloader
 	watched  float64
 	tidied   float64
-	looks    int
+	counted  float64
 }
 
 // run empties the inbox and rings what is due, until the gateway is to end and owes nothing.
@@ -173,7 +176,8 @@
 		if now >= l.tidied+tidyEvery {
 			l.tidied = now
 			l.pool.Tidy(now)
-			if l.looks++; l.looks%countEvery == 0 {
+			if every := l.reload.operator.Load().Log.Every; now >= l.counted+cmp.Or(every, countEvery) {
+				l.counted = now
 				l.buffers.Trim()
 				l.reads.Trim()
 				l.count()
--- a/internal/gateway/serve_test.go
+++ b/internal/gateway/serve_test.go
@@ -19,6 +19,7 @@
 	"poppymill/internal/assert"
 	"poppymill/internal/clients"
 	"poppymill/internal/footprint"
+	"poppymill/internal/operator"
 )
 
 // stage is a whole gateway over loopback, against the project's own stand-ins.
@@ -71,7 +72,10 @@
 	ctx, stop := context.WithCancel(context.Background())
 	s.stop = stop
 	go func() {
-		s.ended <- Serve(ctx, c, Reloads{Wanted: s.hup, Load: func() (*footprint.Config, error) { return s.load() }}, quiet())
+		s.ended <- Serve(ctx, Setup{Config: c, Operator: &operator.Settings{}}, Reloads{Wanted: s.hup, Load: func() (Setup, error) {
+			c, err := s.load()
+			return Setup{Config: c, Operator: &operator.Settings{}}, err
+		}}, quiet())
 	}()
 	for i := 0; ; i++ {
 		if r, err := clients.Get(ctx, s.at, map[string]string{"SCRIPT_NAME": health}, nil); err == nil && r.Status == 200 {
