--- a/internal/caches/pool.go
+++ b/internal/caches/pool.go
@@ -240,11 +240,9 @@
 // evict closes a connection on which nothing is open, the one not used for longest.
 func (p *Pool) evict() bool {
 	var oldest *link
-	for _, n := range p.nodes {
-		for _, l := range n.links {
-			if len(l.open) == 0 && (oldest == nil || l.used < oldest.used) {
-				oldest = l
-			}
+	for _, l := range p.inOrder() {
+		if len(l.open) == 0 && (oldest == nil || l.used < oldest.used) {
+			oldest = l
 		}
 	}
 	if oldest == nil {
@@ -552,7 +550,7 @@
 
 // Tidy closes connections that have been idle.
 func (p *Pool) Tidy(now float64) {
-	for _, l := range p.links {
+	for _, l := range p.inOrder() {
 		p.rest(l, now)
 	}
 }
--- a/internal/gateway/core.go
+++ b/internal/gateway/core.go
@@ -213,6 +213,9 @@
 	return text, drifts
 }
 
+// Leave has the gateway say that it is not healthy any more, so that the front sends nobody else.
+func (g *Core) Leave() { g.ending = true }
+
 // End answers all that is still open, and turns away what comes after it.
 func (g *Core) End(now float64) {
 	g.Ring(now)
@@ -563,7 +566,7 @@
 		g.pool.List(node.Node, node.Address, node.Booted)
 	}
 	if n.Scope != router.Changes {
-		for id := range g.addresses {
+		for _, id := range slices.Sorted(maps.Keys(g.addresses)) {
 			if !named[id] {
 				g.gone(id)
 			}
--- a/internal/gateway/core_test.go
+++ b/internal/gateway/core_test.go
@@ -541,11 +541,11 @@
 // The end comes in time for the last download that may still be taken.
 func TestAnswerBy(t *testing.T) {
 	c := config(t)
-	if got := answerBy(c); got != 3500*time.Millisecond {
+	if got := AnswerBy(c); got != 3500*time.Millisecond {
 		t.Errorf("%v where the longest expiry is past the protocol's", got)
 	}
 	c.Types = c.Types[1:2]
-	if got := answerBy(c); got != 3000*time.Millisecond {
+	if got := AnswerBy(c); got != 3000*time.Millisecond {
 		t.Errorf("%v where the longest expiry is 2.5 s", got)
 	}
 }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -28,8 +28,8 @@
 	flushBy     = 150 * time.Millisecond
 )
 
-// answerBy is when all that was taken is answered, as counted from the word to end.
-func answerBy(c *footprint.Config) time.Duration {
+// AnswerBy is when all that was taken is answered, as counted from the word to end.
+func AnswerBy(c *footprint.Config) time.Duration {
 	longest := 0.0
 	for _, t := range c.Types {
 		longest = max(longest, t.Expiry)
@@ -204,8 +204,9 @@
 			set = 0
 		case <-stop:
 			l.log.Info("ending")
-			stop, l.core.ending = nil, true
-			shut, end = time.After(comeFor), time.After(answerBy(l.core.config))
+			stop = nil
+			l.core.Leave()
+			shut, end = time.After(comeFor), time.After(AnswerBy(l.core.config))
 		case <-shut:
 			shut = nil
 			l.listener.Close()
--- /dev/null
+++ b/internal/rehearsal/auditor/auditor.go
@@ -0,0 +1,311 @@
+// Package auditor judges the five rules from the world's side alone: from what came to boxes and clients and what the
+// world told, never from what a gateway says of itself.
+package auditor
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+
+	"poppymill/internal/rehearsal/script"
+	"poppymill/internal/rehearsal/world"
+)
+
+// Rule is one of the five, or that no gateway may crash.
+type Rule int
+
+// The rules.
+const (
+	OneAnswer Rule = iota // exactly one final answer before expiry, and nothing sent after it
+	NoRepeat              // no effect twice
+	Drains                // nothing new past the grace after word of a drain or a loss
+	Cold                  // no cold box pushed over by all gateways together
+	Purges                // no answer from an older copy past the grace after word of a purge
+	Alive                 // no gateway ends that nobody told to
+	Rules
+)
+
+var names = [Rules]string{"one answer", "no effect twice", "drains and losses", "cold boxes", "purges", "gateways stay up"}
+
+func (r Rule) String() string { return names[r] }
+
+// Finding is one breach: when, by which gateway, of which download, at which box.
+type Finding struct {
+	Rule    Rule
+	At      float64
+	Gateway int
+	ID, Box string
+	What    string
+}
+
+func (f Finding) String() string {
+	return fmt.Sprintf("%.1f ms, gateway %d, download %s, box %s: %s", f.At, f.Gateway, f.ID, f.Box, f.What)
+}
+
+// answerSlack is what the platform's settings allow an answer past its expiry, in ms (rules.answer_slack).
+const answerSlack = 8.0
+
+// mostFindings bounds what is kept of each rule; the rest is counted.
+const mostFindings = 20
+
+// Auditor hears the world's facts in their order.
+type Auditor struct {
+	Found  [Rules][]Finding
+	Counts [Rules]int
+	rules  script.Rules
+	types  map[string]script.Type
+	slack  float64 // ms that a real machine and a real network may add to a time
+	open   map[string]*download
+	past   []*download                // those that are over, the oldest first
+	shut   map[int]map[string]float64 // by gateway and box: when it was told to leave it alone
+	purged map[int]*purges
+}
+
+type purges struct {
+	object map[string][]purge
+	group  map[int][]purge
+}
+
+type purge struct{ told, when float64 }
+
+// download is what the world knows of one request.
+type download struct {
+	world.Asked
+	answers int
+	ended   float64 // when it was over for its client; under 0: it is not
+	why     string
+	pulls   []*pull
+	ran     int
+}
+
+type pull struct {
+	world.Pulled
+	proven bool // it is known not to have run
+	told   bool // the box has answered
+}
+
+// New makes an auditor of one rehearsal. Slack is 0 in virtual time.
+func New(s *script.Script, slack float64) *Auditor {
+	a := &Auditor{rules: s.Rules, types: map[string]script.Type{}, slack: slack, open: map[string]*download{},
+		shut: map[int]map[string]float64{}, purged: map[int]*purges{}}
+	for _, t := range s.Types {
+		a.types[t.Name] = t
+	}
+	return a
+}
+
+func (a *Auditor) find(r Rule, at float64, gateway int, id, box, format string, args ...any) {
+	if a.Counts[r]++; len(a.Found[r]) < mostFindings {
+		a.Found[r] = append(a.Found[r], Finding{Rule: r, At: at, Gateway: gateway, ID: id, Box: box, What: fmt.Sprintf(format, args...)})
+	}
+}
+
+// keepFor is how long a download that is over is remembered, in ms: what is sent for it after is sent soon after.
+const keepFor = 20_000.0
+
+// See takes a fact.
+func (a *Auditor) See(f world.Fact) {
+	switch f := f.(type) {
+	case world.Asked:
+		a.open[f.ID] = &download{Asked: f, ended: -1}
+	case world.Answered:
+		a.answered(f)
+	case world.Ended:
+		a.ended(f)
+	case world.Pulled:
+		a.pulled(f)
+	case world.Served:
+		a.served(f)
+	case world.Ran:
+		a.ran(f)
+	case world.Told:
+		a.told(f)
+	case world.Pushed:
+		a.find(Cold, f.At, -1, "", f.Box, "sent %.0f ms of work while it bears %.0f", f.Sent, f.Allowed)
+	case world.Restarted:
+		// It knows nothing of before, and is told anew all that holds.
+		delete(a.shut, f.Gateway)
+		delete(a.purged, f.Gateway)
+	case world.Down:
+		if f.Crashed {
+			a.find(Alive, f.At, f.Gateway, "", "", "it ended, and nobody had told it to")
+		}
+	}
+}
+
+func (a *Auditor) over(d *download, at float64) {
+	d.ended = at
+	a.past = append(a.past, d)
+	for len(a.past) > 0 && a.past[0].ended < at-keepFor {
+		delete(a.open, a.past[0].ID)
+		a.past = a.past[1:]
+	}
+}
+
+func (a *Auditor) answered(f world.Answered) {
+	d := a.open[f.ID]
+	if d == nil {
+		a.find(OneAnswer, f.At, f.Gateway, f.ID, "", "an answer to what was never asked, or long ago")
+		return
+	}
+	d.answers++
+	switch {
+	case d.answers > 1:
+		a.find(OneAnswer, f.At, f.Gateway, f.ID, "", "a second answer, status %d", f.Status)
+		return
+	case d.why == "left": // a client that went may be told so
+		return
+	case f.At > d.Expiry+answerSlack+a.slack:
+		a.find(OneAnswer, f.At, f.Gateway, f.ID, "", "answered %.1f ms past its expiry", f.At-d.Expiry)
+	}
+	if d.ended < 0 {
+		a.over(d, f.At)
+	}
+	if f.Status == 429 || f.Status == 503 {
+		for _, p := range d.pulls {
+			if d.Repeat == "non-retriable" && !p.proven {
+				a.find(NoRepeat, f.At, f.Gateway, f.ID, p.Box, "told to try again though a pull may have run")
+			}
+		}
+	}
+	if f.Status == 200 && !f.Still {
+		a.content(d, f)
+	}
+}
+
+// content checks that what a client got is what a box gave out for it, and no older than the purges allow.
+func (a *Auditor) content(d *download, f world.Answered) {
+	words := strings.Fields(f.Copy)
+	if a.types[d.Type].Write {
+		if len(words) < 2 || words[0] != "ran" || words[1] != d.ID {
+			a.find(OneAnswer, f.At, f.Gateway, d.ID, "", "answered with %.60q, which no box made for it", f.Copy)
+		}
+		return
+	}
+	born := 0.0
+	if len(words) > 3 {
+		born, _ = strconv.ParseFloat(words[3], 64)
+	}
+	if len(words) < 4 || words[0] != d.Object || words[1] != strconv.Itoa(d.Part) {
+		a.find(OneAnswer, f.At, f.Gateway, d.ID, "", "answered with %.60q, which no box made for it", f.Copy)
+		return
+	}
+	last := 0.0
+	for _, p := range d.pulls {
+		last = max(last, p.At)
+	}
+	a.age(d.Gateway, d.Object, d.Group, d.ID, "", last, born, f.At)
+}
+
+// age checks a copy that answers a pull sent at a time against the purges that its gateway knew of then.
+func (a *Auditor) age(gateway int, object string, group int, id, box string, sent, born, at float64) {
+	p := a.purged[gateway]
+	if p == nil {
+		return
+	}
+	for _, all := range [][]purge{p.object[object], p.group[group]} {
+		for _, q := range all {
+			if sent > q.told+a.rules.PurgeGrace+a.slack && born < q.when-1 {
+				a.find(Purges, at, gateway, id, box, "sent %.0f ms after word of a purge, answered by a copy %.0f ms older than it",
+					sent-q.told, q.when-born)
+				return
+			}
+		}
+	}
+}
+
+func (a *Auditor) ended(f world.Ended) {
+	d := a.open[f.ID]
+	if d == nil {
+		return
+	}
+	d.why = f.Why
+	if d.ended < 0 {
+		a.over(d, f.At)
+	}
+	if f.Why == "expired" {
+		a.find(OneAnswer, f.At, d.Gateway, f.ID, "", "no answer by its expiry")
+	}
+}
+
+func (a *Auditor) pulled(f world.Pulled) {
+	d := a.open[f.ID]
+	if d == nil {
+		return // made by hand, or of a gateway that is no more
+	}
+	if d.ended >= 0 && f.At > d.ended+a.slack && d.why != "broken" {
+		a.find(OneAnswer, f.At, f.Gateway, f.ID, f.Box, "sent %.1f ms after its end", f.At-d.ended)
+	}
+	for _, p := range d.pulls {
+		if p.proven || d.Repeat == "retriable" {
+			continue
+		}
+		t := a.types[d.Type]
+		within := d.Repeat == "deduped" && f.At < p.At+t.Window &&
+			(t.Scope == "all" || t.Scope == "zone" && p.Zone == f.Zone || t.Scope == "cell" && p.Zone == f.Zone && p.Cell == f.Cell)
+		if !within {
+			a.find(NoRepeat, f.At, f.Gateway, f.ID, f.Box, "sent again though its pull to %s may have run", p.Box)
+		}
+	}
+	d.pulls = append(d.pulls, &pull{Pulled: f})
+	for _, box := range []string{f.Box, f.Source} {
+		if told, shut := a.shut[f.Gateway][box]; shut && f.At > told+a.rules.DrainGrace+a.slack {
+			a.find(Drains, f.At, f.Gateway, f.ID, box, "sent %.1f ms after word that it drains or is gone", f.At-told)
+		}
+	}
+}
+
+func (a *Auditor) served(f world.Served) {
+	d := a.open[f.ID]
+	if d == nil {
+		return
+	}
+	for _, p := range d.pulls {
+		if p.Box == f.Box && !p.told {
+			p.told = true
+			p.proven = f.Word == "LACK" || f.Word == "WAIT" || f.Word == "PAST"
+			if f.Copy {
+				a.age(d.Gateway, d.Object, d.Group, d.ID, f.Box, p.At, f.Born, f.At)
+			}
+			return
+		}
+	}
+}
+
+func (a *Auditor) ran(f world.Ran) {
+	d := a.open[f.ID]
+	if d == nil {
+		return
+	}
+	if d.ran++; d.ran > 1 && d.Repeat == "non-retriable" {
+		a.find(NoRepeat, f.At, d.Gateway, f.ID, "", "took effect %d times", d.ran)
+	}
+}
+
+func (a *Auditor) told(f world.Told) {
+	if f.Box != "" {
+		if a.shut[f.Gateway] == nil {
+			a.shut[f.Gateway] = map[string]float64{}
+		}
+		_, shut := a.shut[f.Gateway][f.Box]
+		if f.State == "ready" {
+			delete(a.shut[f.Gateway], f.Box)
+		} else if !shut {
+			a.shut[f.Gateway][f.Box] = f.At
+		}
+		return
+	}
+	p := a.purged[f.Gateway]
+	if p == nil {
+		p = &purges{object: map[string][]purge{}, group: map[int][]purge{}}
+		a.purged[f.Gateway] = p
+	}
+	if f.Purged != "" {
+		p.object[f.Purged] = append(p.object[f.Purged], purge{f.At, f.When})
+	} else {
+		p.group[f.Group] = append(p.group[f.Group], purge{f.At, f.When})
+	}
+}
+
+// Holds tells whether a rule was kept.
+func (a *Auditor) Holds(r Rule) bool { return a.Counts[r] == 0 }
--- /dev/null
+++ b/internal/rehearsal/report/report.go
@@ -0,0 +1,269 @@
+// Package report counts what happened in a rehearsal, by phase, and holds it against what the script expects.
+package report
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"math"
+	"slices"
+	"text/tabwriter"
+
+	"poppymill/internal/rehearsal/auditor"
+	"poppymill/internal/rehearsal/script"
+	"poppymill/internal/rehearsal/world"
+)
+
+// Report is the whole of it. Outcome must be the same each time that a script is played with one seed; figures are the
+// same in virtual time only.
+type Report struct {
+	Outcome Outcome `json:"outcome"`
+	Figures Figures `json:"figures"`
+}
+
+// Outcome is what held and what did not.
+type Outcome struct {
+	Script       string    `json:"script"`
+	Seed         int       `json:"seed"`
+	Rules        []Verdict `json:"rules"`
+	Expectations []Verdict `json:"expectations"`
+	Holds        bool      `json:"holds"`
+}
+
+// Verdict is one rule or expectation.
+type Verdict struct {
+	What  string `json:"what"`
+	Holds bool   `json:"holds"`
+}
+
+// Figures are what was counted.
+type Figures struct {
+	Phases   []Phase            `json:"phases"`
+	Types    map[string]*Counts `json:"types"`
+	Links    map[string]float64 `json:"link_megabytes"`
+	Measured []string           `json:"measured"` // what each expectation came to
+	Findings []string           `json:"findings"`
+	Fell     []string           `json:"fell"`
+}
+
+// Counts are wants by how they ended, and tries.
+type Counts struct {
+	Asked     int     `json:"asked"`
+	InTime    int     `json:"in_time"`
+	Late      int     `json:"late"`
+	Throttled int     `json:"throttled"`
+	Abandoned int     `json:"abandoned"`
+	Lost      int     `json:"lost"`
+	Left      int     `json:"left"`
+	Share     float64 `json:"share_in_time"`
+}
+
+// Phase is one phase's figures. What is wanted counts in the phase in which it was first asked for.
+type Phase struct {
+	Name string `json:"name"`
+	Counts
+	Tries     int     `json:"tries"`
+	Refusals  int     `json:"throttling_answers"`
+	Abandons  int     `json:"abandoning_answers"`
+	Pulls     int     `json:"pulls"`
+	Hits      int     `json:"hits"`
+	Core      int     `json:"core_requests"`
+	CorePeak  int     `json:"core_requests_in_worst_second"`
+	Megabytes float64 `json:"link_megabytes"`
+}
+
+// Counter hears the world's facts.
+type Counter struct {
+	script *script.Script
+	fig    Figures
+	writes [][2]int // by phase: wanted and in time or late
+	core   []map[int]int
+	hits   []map[int][2]int // by phase and second of it: hits and pulls
+}
+
+// New makes a counter for a script.
+func New(s *script.Script) *Counter {
+	c := &Counter{script: s, fig: Figures{Types: map[string]*Counts{}, Links: map[string]float64{}, Measured: []string{}, Findings: []string{}, Fell: []string{}}}
+	for _, p := range s.Phases {
+		c.fig.Phases = append(c.fig.Phases, Phase{Name: p.Name})
+		c.writes, c.core, c.hits = append(c.writes, [2]int{}), append(c.core, map[int]int{}), append(c.hits, map[int][2]int{})
+	}
+	for _, t := range s.Types {
+		c.fig.Types[t.Name] = &Counts{}
+	}
+	return c
+}
+
+func (c *Counter) phase(at float64) int {
+	for i, p := range c.script.Phases {
+		if at < p.From+p.For {
+			return i
+		}
+	}
+	return len(c.script.Phases) - 1
+}
+
+// See takes a fact.
+func (c *Counter) See(f world.Fact) {
+	switch f := f.(type) {
+	case world.Asked:
+		c.fig.Phases[c.phase(f.At)].Tries++
+	case world.Answered:
+		switch p := &c.fig.Phases[c.phase(f.At)]; f.Status {
+		case 200:
+		case 429, 503:
+			p.Refusals++
+		default:
+			p.Abandons++
+		}
+	case world.Pulled:
+		c.fig.Phases[c.phase(f.At)].Pulls++
+	case world.Served:
+		i := c.phase(f.At)
+		second := int((f.At - c.script.Phases[i].From) / 1000)
+		h := c.hits[i][second]
+		if h[1]++; f.Note == "warm" || f.Note == "aged" {
+			h[0]++
+			c.fig.Phases[i].Hits++
+		}
+		c.hits[i][second] = h
+	case world.Made:
+		i := c.phase(f.At)
+		c.fig.Phases[i].Core++
+		c.core[i][int(f.At/1000)]++
+	case world.Moved:
+		c.fig.Links[f.Link] += f.Bytes / 1e6
+		c.fig.Phases[c.phase(f.At)].Megabytes += f.Bytes / 1e6
+	case world.Fell:
+		c.fig.Fell = append(c.fig.Fell, fmt.Sprintf("%.0f ms: %s", f.At, f.Box))
+	case world.Wanted:
+		i := c.phase(f.Asked)
+		c.fig.Phases[i].count(f.Verdict)
+		c.fig.Types[f.Type].count(f.Verdict)
+		if t := slices.IndexFunc(c.script.Types, func(t script.Type) bool { return t.Name == f.Type }); c.script.Types[t].Write && f.Verdict != world.Left {
+			if c.writes[i][0]++; f.Verdict <= world.Late {
+				c.writes[i][1]++
+			}
+		}
+	}
+}
+
+func (n *Counts) count(v world.Verdict) {
+	n.Asked++
+	switch v {
+	case world.InTime:
+		n.InTime++
+	case world.Late:
+		n.Late++
+	case world.Throttled:
+		n.Throttled++
+	case world.Abandoned:
+		n.Abandoned++
+	case world.Lost:
+		n.Lost++
+	case world.Left:
+		n.Left++
+	}
+	// Who left got what he waited for: nothing is to be said of it.
+	n.Share = math.Round(10_000*float64(n.InTime)/float64(max(1, n.Asked-n.Left))) / 10_000
+}
+
+// Report closes the books.
+func (c *Counter) Report(a *auditor.Auditor) *Report {
+	r := &Report{Outcome: Outcome{Script: c.script.Name, Seed: c.script.Seed, Holds: true, Rules: []Verdict{}, Expectations: []Verdict{}}}
+	for rule := range auditor.Rules {
+		r.Outcome.Rules = append(r.Outcome.Rules, Verdict{rule.String(), a.Holds(rule)})
+		r.Outcome.Holds = r.Outcome.Holds && a.Holds(rule)
+		for _, f := range a.Found[rule] {
+			c.fig.Findings = append(c.fig.Findings, rule.String()+": "+f.String())
+		}
+		if more := a.Counts[rule] - len(a.Found[rule]); more > 0 {
+			c.fig.Findings = append(c.fig.Findings, fmt.Sprintf("%s: %d more", rule, more))
+		}
+	}
+	expect := func(phase, what string, got float64, holds bool) {
+		r.Outcome.Expectations = append(r.Outcome.Expectations, Verdict{phase + ": " + what, holds})
+		c.fig.Measured = append(c.fig.Measured, fmt.Sprintf("%s: %s: %.4g", phase, what, got))
+		r.Outcome.Holds = r.Outcome.Holds && holds
+	}
+	for i, p := range c.script.Phases {
+		f, e := &c.fig.Phases[i], p.Expect
+		for _, n := range c.core[i] {
+			f.CorePeak = max(f.CorePeak, n)
+		}
+		tries := float64(max(1, f.Tries))
+		if e.InTime > 0 {
+			expect(p.Name, fmt.Sprintf("in time at least %v", e.InTime), f.Share, f.Share >= e.InTime)
+		}
+		if e.Throttled > 0 {
+			got := float64(f.Refusals) / tries
+			expect(p.Name, fmt.Sprintf("throttled at most %v", e.Throttled), got, got <= e.Throttled)
+		}
+		if e.Abandons > 0 {
+			got := float64(f.Abandons) / tries
+			expect(p.Name, fmt.Sprintf("abandoned at most %v", e.Abandons), got, got <= e.Abandons)
+		}
+		if e.CoreRate > 0 {
+			expect(p.Name, fmt.Sprintf("core requests at most %v a second", e.CoreRate), float64(f.CorePeak), float64(f.CorePeak) <= e.CoreRate)
+		}
+		if e.Renewals > 0 {
+			got := float64(c.writes[i][1]) / float64(max(1, c.writes[i][0]))
+			expect(p.Name, fmt.Sprintf("renewals at least %v", e.Renewals), got, got >= e.Renewals)
+		}
+		if e.Hits > 0 {
+			second := c.regained(i, e.Hits)
+			expect(p.Name, fmt.Sprintf("hits of %v within %v ms", e.Hits, e.HitsWithin), 1000*second, 1000*second <= e.HitsWithin)
+		}
+	}
+	r.Figures = c.fig
+	return r
+}
+
+// regained is the first second of a phase by whose end, over the last two, the edge answered at least this share.
+func (c *Counter) regained(phase int, share float64) float64 {
+	last := int(c.script.Phases[phase].For / 1000)
+	for s := 1; s <= last; s++ {
+		a, b := c.hits[phase][s-1], c.hits[phase][s]
+		if n := a[1] + b[1]; n > 0 && float64(a[0]+b[0]) >= share*float64(n) {
+			return float64(s + 1)
+		}
+	}
+	return math.Inf(1)
+}
+
+// JSON writes a report as one document that is the same for the same report.
+func (r *Report) JSON(to io.Writer) error {
+	e := json.NewEncoder(to)
+	e.SetIndent("", "  ")
+	return e.Encode(r)
+}
+
+// Print writes a report for people.
+func (r *Report) Print(to io.Writer) {
+	w := tabwriter.NewWriter(to, 0, 8, 2, ' ', 0)
+	fmt.Fprintln(w, "phase\tasked\tin time\tlate\tthrottled\tabandoned\tlost\tpulls\thits\tcore\tpeak a s\tlinks MB")
+	row := func(name string, n Counts, rest string) {
+		fmt.Fprintf(w, "%s\t%d\t%.3f\t%d\t%d\t%d\t%d%s\n", name, n.Asked, n.Share, n.Late, n.Throttled, n.Abandoned, n.Lost, rest)
+	}
+	for _, p := range r.Figures.Phases {
+		row(p.Name, p.Counts, fmt.Sprintf("\t%d\t%.2f\t%d\t%d\t%.0f", p.Pulls, float64(p.Hits)/float64(max(1, p.Pulls)), p.Core, p.CorePeak, p.Megabytes))
+	}
+	for _, t := range slices.Sorted(maps.Keys(r.Figures.Types)) {
+		row(t, *r.Figures.Types[t], "")
+	}
+	w.Flush()
+	for _, f := range append(slices.Clone(r.Figures.Fell), r.Figures.Findings...) {
+		fmt.Fprintln(to, f)
+	}
+	w = tabwriter.NewWriter(to, 0, 8, 2, ' ', 0)
+	word := map[bool]string{true: "holds", false: "DOES NOT HOLD"}
+	for _, v := range r.Outcome.Rules {
+		fmt.Fprintf(w, "rule\t%s\t%s\n", v.What, word[v.Holds])
+	}
+	for i, v := range r.Outcome.Expectations {
+		fmt.Fprintf(w, "expected\t%s\t%s\n", r.Figures.Measured[i], word[v.Holds])
+	}
+	fmt.Fprintf(w, "outcome\t%s, seed %d\t%s\n", r.Outcome.Script, r.Outcome.Seed, word[r.Outcome.Holds])
+	w.Flush()
+}
--- /dev/null
+++ b/internal/rehearsal/resp/resp.go
@@ -0,0 +1,121 @@
+// Package resp is the boxes' side of RESP: commands read as they come, answers written. It is fed bytes and knows no
+// socket; both drivers of a rehearsal use it, so that a gateway meets the same bytes in virtual time.
+package resp
+
+import (
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+)
+
+// Command is one command: GET, DROP, PING or LOAD.
+type Command struct {
+	Verb, ID string
+	Fields   map[string]string
+	Body     int // bytes
+}
+
+// Bounds on what a gateway may send.
+const (
+	mostWord = 4 << 10
+	mostBody = 48_000
+	mostLine = 16
+)
+
+// Reader reads commands, however their bytes are split.
+type Reader struct{ rest []byte }
+
+// Feed reads bytes and returns the commands that are whole. After an error the connection is of no more use.
+func (r *Reader) Feed(b []byte) (found []Command, err error) {
+	r.rest = append(r.rest, b...)
+	for {
+		c, n, err := read(r.rest)
+		if err != nil || n == 0 {
+			return found, err
+		}
+		found = append(found, c)
+		r.rest = append(r.rest[:0], r.rest[n:]...)
+	}
+}
+
+var errPartial = errors.New("not whole yet")
+
+// read takes one command off the front; 0 bytes where it is not whole.
+func read(b []byte) (c Command, used int, err error) {
+	at := 0
+	count := func(sign byte, most int) (int, error) {
+		for i := at; i < len(b); i++ {
+			if b[i] != '\n' {
+				if i-at > mostLine {
+					return 0, errors.New("a length is too long")
+				}
+				continue
+			}
+			line := strings.TrimSuffix(string(b[at:i]), "\r")
+			if line == "" || line[0] != sign {
+				return 0, fmt.Errorf("%q in place of a length", line)
+			}
+			n, err := strconv.Atoi(line[1:])
+			if err != nil || n < 0 || n > most {
+				return 0, fmt.Errorf("length %q", line)
+			}
+			at = i + 1
+			return n, nil
+		}
+		return 0, errPartial
+	}
+	parts, err := count('*', 4)
+	words := make([]string, 0, 4)
+	for i := 0; err == nil && i < parts; i++ {
+		most := mostWord
+		if i == 3 {
+			most = mostBody
+		}
+		var n int
+		if n, err = count('$', most); err == nil && at+n+2 > len(b) {
+			err = errPartial
+		}
+		if err == nil {
+			if b[at+n] != '\r' || b[at+n+1] != '\n' {
+				return c, 0, errors.New("a string does not end where it should")
+			}
+			words = append(words, string(b[at:at+n]))
+			at += n + 2
+		}
+	}
+	if errors.Is(err, errPartial) {
+		return c, 0, nil
+	}
+	if err != nil {
+		return c, 0, err
+	}
+	want := map[string]int{"GET": 4, "DROP": 2, "PING": 2, "LOAD": 2}
+	if len(words) < 2 || want[words[0]] != len(words) {
+		return c, 0, fmt.Errorf("%q of %d words", strings.Join(words[:min(1, len(words))], ""), len(words))
+	}
+	c = Command{Verb: words[0], ID: words[1]}
+	if c.Verb == "GET" {
+		c.Body = len(words[3])
+		c.Fields = map[string]string{}
+		for pair := range strings.SplitSeq(words[2], ",") {
+			name, value, ok := strings.Cut(pair, "=")
+			if !ok {
+				return c, 0, fmt.Errorf("field %.80q", pair)
+			}
+			c.Fields[name] = value
+		}
+	}
+	return c, at, nil
+}
+
+// Answer appends an answer.
+func Answer(out []byte, tag, word, fields string, body []byte) []byte {
+	out = append(out, "*4\r\n"...)
+	for _, s := range []string{tag, word, fields} {
+		out = append(strconv.AppendInt(append(out, '$'), int64(len(s)), 10), "\r\n"...)
+		out = append(append(out, s...), "\r\n"...)
+	}
+	out = append(strconv.AppendInt(append(out, '$'), int64(len(body)), 10), "\r\n"...)
+	return append(append(out, body...), "\r\n"...)
+}
--- /dev/null
+++ b/internal/rehearsal/script/fields.go
@@ -0,0 +1,147 @@
+package script
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	op "poppymill/internal/operator"
+)
+
+func (s *Script) deployment() []op.Field {
+	return []op.Field{
+		op.Attr("clubs", op.Texts(&s.Clubs)), op.Attr("gateways", op.Whole(&s.Gateways, 1, 1000)),
+		op.Attr("flow", op.Size(&s.Flow, 1e3, 1e10)), op.Attr("near", op.Span(&s.Near, 0, time.Second)),
+		op.Attr("far", op.Span(&s.Far, 0, time.Second)), op.Attr("link", op.Size(&s.Link, 1e4, 1e12)),
+		op.One("box", s.Box.fields), op.One("hub", s.Hub.fields),
+		op.One("core", func() []op.Field {
+			c := &s.Core
+			return []op.Field{op.Attr("capacity", op.Number(&c.Capacity, 0.1, 1e6)), op.Attr("answers", op.Span(&c.Answers, 0, time.Minute)),
+				op.Attr("crowded", op.Number(&c.Crowded, 0, 100)), op.Attr("stops_at", op.Number(&c.StopsAt, 0, 1000)),
+				op.Attr("stops_for", op.Span(&c.StopsFor, 0, longest)), op.Attr("stops_push", op.Span(&c.StopsPush, time.Millisecond, longest))}
+		}),
+		op.One("list", func() []op.Field {
+			l := &s.List
+			return []op.Field{op.Attr("told", op.Span(&l.Told, 0, longest)), op.Attr("notices", op.Span(&l.Notices, 0, longest)),
+				op.Attr("purges", op.Span(&l.Purges, 0, longest))}
+		}),
+		op.One("rules", func() []op.Field {
+			r := &s.Rules
+			return []op.Field{op.Attr("drain_grace", op.Span(&r.DrainGrace, 0, time.Minute)),
+				op.Attr("purge_grace", op.Span(&r.PurgeGrace, 0, time.Minute)), op.Attr("purge_settles", op.Span(&r.PurgeSettles, 0, longest))}
+		}),
+		op.One("limits", func() []op.Field {
+			return []op.Field{op.Attr("memory_mb", op.Whole(&s.Limits.MemoryMB, 24, 1<<20)), op.Attr("sockets", op.Whole(&s.Limits.Sockets, 64, 1<<20))}
+		}),
+	}
+}
+
+func (b *Box) fields() []op.Field {
+	return []op.Field{
+		op.Attr("count", op.Whole(&b.Count, 1, 10_000)), op.Attr("cores_from", op.Number(&b.Cores[0], 0.1, 1e5)),
+		op.Attr("cores_to", op.Number(&b.Cores[1], 0.1, 1e5)), op.Attr("slots", op.Whole(&b.Slots, 1, 1e5)),
+		op.Attr("queue", op.Whole(&b.Queue, 0, 1e5)), op.Attr("store", op.Size(&b.Store, 1, 1e15)),
+		op.Attr("cold_share", op.Share(&b.ColdShare)), op.Attr("cold_for", op.Span(&b.ColdFor, 0, longest)),
+		op.Attr("fall_multiple", op.Number(&b.FallMultiple, 1, 1e3)), op.Attr("fall_for", op.Span(&b.FallFor, 100*time.Millisecond, time.Minute)),
+		op.Attr("fallen_for", op.Span(&b.FallenFor, 0, longest)), op.Attr("fills", op.Whole(&b.Fills, 1, 1e5)),
+		op.Attr("fill_timeout", op.Span(&b.FillTimeout, time.Millisecond, time.Minute)),
+		op.Attr("report", op.Span(&b.Report, 10*time.Millisecond, time.Minute)), op.Attr("probe", op.Span(&b.Probe, 0, time.Second)),
+		op.Attr("errors", op.Share(&b.Errs)), op.Attr("held", op.Share(&b.Held)),
+		op.Check(func() error {
+			if b.Cores[0] > b.Cores[1] {
+				return fmt.Errorf("cores_from %v is over cores_to %v", b.Cores[0], b.Cores[1])
+			}
+			return nil
+		}),
+	}
+}
+
+func (t *Type) fields(sharing *float64) []op.Field {
+	return []op.Field{
+		op.Must("share", op.Share(&t.Share)), op.Must("work", op.Span(&t.Work, time.Millisecond, time.Minute)),
+		op.Attr("spread", op.Number(&t.Spread, 0, 3)), op.Attr("parts", op.Whole(&t.Parts, 1, 1000)), op.Attr("gap", op.Span(&t.Gap, 0, time.Minute)),
+		op.Must("target", op.Span(&t.Target, time.Millisecond, time.Minute)), op.Attr("stretch", op.Number(&t.Stretch, 0, 100)),
+		op.Must("expiry", op.Span(&t.Expiry, time.Millisecond, time.Minute)), op.Attr("fresh", op.Span(&t.Fresh, 0, longest)),
+		op.Attr("grace", op.Span(&t.Grace, 0, longest)), op.Attr("benefit", op.Number(&t.Benefit, 0.001, 1000)),
+		op.Attr("late", op.Share(&t.Late)), op.Attr("repeat", op.OneOf(&t.Repeat, "retriable", "deduped", "non-retriable")),
+		op.Attr("scope", op.OneOf(&t.Scope, "all", "zone", "cell")), op.Attr("window", op.Span(&t.Window, 0, longest)),
+		op.Attr("write", op.Flag(&t.Write)), op.Attr("objects", op.Whole(&t.Objects, 1, 1e6)), op.Attr("skew", op.Number(&t.Skew, 0, 3)),
+		op.Attr("once", op.Share(&t.Once)), op.Attr("local", op.Share(&t.Local)), op.Attr("old_worth", op.Share(&t.OldWorth)),
+		op.Check(func() error {
+			*sharing += t.Share
+			if t.Target > t.Expiry {
+				return fmt.Errorf("target of %v ms is past the expiry of %v ms", t.Target, t.Expiry)
+			}
+			if t.Write && t.Parts > 1 {
+				return errors.New("a write has one part")
+			}
+			return nil
+		}),
+	}
+}
+
+func (c *Clients) fields() []op.Field {
+	return []op.Field{op.Attr("retries", op.Whole(&c.Retries, 0, 100)), op.Attr("wait", op.Span(&c.Wait, 0, time.Minute)),
+		op.Attr("heeds", op.Share(&c.Heeds)), op.Attr("patience_from", op.Number(&c.Patience[0], 0.01, 1)),
+		op.Attr("patience_to", op.Number(&c.Patience[1], 0.01, 1)), op.Attr("impatient", op.Share(&c.Impatient)),
+		op.Attr("holds", op.Share(&c.Holds)), op.Attr("notices", op.Span(&c.Notices, 0, time.Minute)),
+		op.Check(func() error {
+			if c.Patience[0] > c.Patience[1] {
+				return fmt.Errorf("patience_from %v is over patience_to %v", c.Patience[0], c.Patience[1])
+			}
+			return nil
+		})}
+}
+
+func (p *Phase) fields() []op.Field {
+	e := &p.Expect
+	return []op.Field{op.Must("for", op.Span(&p.For, 100*time.Millisecond, 24*time.Hour)), op.Must("rate", op.Number(&p.Rate, 0, 1e6)),
+		op.One("expect", func() []op.Field {
+			return []op.Field{op.Attr("in_time", op.Share(&e.InTime)), op.Attr("throttled", op.Share(&e.Throttled)),
+				op.Attr("core_rate", op.Number(&e.CoreRate, 0, 1e9)), op.Attr("hits", op.Share(&e.Hits)),
+				op.Attr("hits_within", op.Span(&e.HitsWithin, 0, longest)), op.Attr("renewals", op.Share(&e.Renewals)),
+				op.Attr("abandoned", op.Share(&e.Abandons))}
+		})}
+}
+
+func (e *Event) fields() []op.Field {
+	return []op.Field{op.Must("at", op.Span(&e.At, 0, 24*time.Hour)), op.Attr("for", op.Span(&e.For, time.Millisecond, 24*time.Hour)),
+		op.Attr("every", op.Span(&e.Every, time.Millisecond, 24*time.Hour)), op.Attr("times", op.Whole(&e.Times, 1, 10_000)),
+		op.Attr("on", op.OneOf(&e.On, deeds[e.Do]...)), op.Attr("name", op.Text(&e.Name)), op.Attr("share", op.Share(&e.Share)),
+		op.Attr("count", op.Whole(&e.Count, 1, 10_000)), op.Attr("factor", op.Number(&e.Factor, 0.001, 1e4)),
+		op.Attr("over", op.Span(&e.Over, 0, 24*time.Hour)), op.Attr("same_address", op.Flag(&e.SameAddress)),
+		op.Attr("delay", op.Span(&e.Delay, 0, longest)), op.Attr("groups", op.Whole(&e.Groups, 1, 256)), op.Attr("club", op.Text(&e.Club)),
+		op.Attr("kiosks", op.Whole(&e.Kiosks, 1, 10_000)), op.Attr("type", op.Text(&e.Type)),
+		op.Check(e.whole)}
+}
+
+// whole checks that an event says all that it needs, and nothing that would be passed over in silence.
+func (e *Event) whole() error {
+	uses := map[string]string{"slow": "factor", "traffic": "factor", "large": "factor share", "fail": "share", "lose": "share", "cut": "share",
+		"once": "share", "lag": "delay", "storm": "kiosks club", "purge": "share groups", "replace": "over same_address", "drain": "over",
+		"kill": "over", "restart": "over", "stop": "over"}
+	given := map[string]bool{"factor": e.Factor != 0, "delay": e.Delay != 0, "kiosks": e.Kiosks != 0, "club": e.Club != "",
+		"groups": e.Groups != 0, "over": e.Over != 0, "same_address": e.SameAddress, "type": e.Type != ""}
+	for _, name := range []string{"factor", "delay", "kiosks", "club", "groups", "over", "same_address", "type"} {
+		if given[name] && !slices.Contains(strings.Fields(uses[e.Do]), name) {
+			return fmt.Errorf("%s takes no %s", e.Do, name)
+		}
+	}
+	switch {
+	case slices.Contains(needFor, e.Do) && e.For == 0:
+		return fmt.Errorf("%s needs for", e.Do)
+	case strings.HasPrefix(uses[e.Do], "factor") && e.Factor == 0:
+		return fmt.Errorf("%s needs factor", e.Do)
+	case slices.Contains([]string{"fail", "lose", "cut", "once", "large"}, e.Do) && e.Share == 0:
+		return fmt.Errorf("%s needs share", e.Do)
+	case e.Do == "lag" && e.Delay == 0, e.Do == "storm" && e.Kiosks == 0:
+		return fmt.Errorf("%s needs %s", e.Do, uses[e.Do])
+	case e.Times > 1 && e.Every == 0:
+		return errors.New("times needs every")
+	case e.Do == "purge" && (e.Groups == 0) == (e.Share == 0):
+		return errors.New("purge needs groups or share")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/rehearsal/virtual/virtual.go
@@ -0,0 +1,543 @@
+// Package virtual plays a rehearsal in virtual time: real gateway cores with their routers and pools in one process, no
+// sleeping, no sockets. The same script and seed give the same report to the byte. Commands and answers go through their
+// real bytes, so that the gateways' own accounting is exercised.
+package virtual
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"math"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"poppymill/internal/buffer"
+	"poppymill/internal/caches"
+	"poppymill/internal/channel"
+	"poppymill/internal/clients"
+	"poppymill/internal/footprint"
+	"poppymill/internal/gateway"
+	"poppymill/internal/rehearsal/resp"
+	"poppymill/internal/rehearsal/script"
+	"poppymill/internal/rehearsal/world"
+)
+
+// epoch is the Unix time in ms at which every virtual day begins.
+const epoch = 1.8e12
+
+// How often the loop of a real gateway looks for mute and idle connections, in ms; how long word of the channel is on
+// its way, and how long where the channel is mute and the gateway has to find that out.
+const (
+	watchEvery = 100.0
+	tidyEvery  = 1000.0
+	wordTakes  = 2.0
+	muteTakes  = 2000.0
+)
+
+// Tamper puts a fault into the gateways, to show that the auditor finds it. The zero value puts in none.
+type Tamper struct {
+	News     func(channel.News) bool                    // false: they never hear of it
+	Answers  func(world.Answer) []world.Answer          // what their clients get in place of one answer
+	Reply    func(world.Reply) world.Reply              // what they read of a box's answer
+	Settings func(settings map[string]any)              // what they are told of their deployment
+	Crash    func(gateway int, now float64) (ends bool) // asked at every watch
+}
+
+// Options of a run.
+type Options struct {
+	Facts  func(world.Fact)
+	Tamper Tamper
+	Log    func(gateway int) logrus.FieldLogger // nil: nowhere
+}
+
+// Stats are what the gateways counted, summed at their end.
+type Stats struct {
+	Downloads, Drifts, Overdue, Panics int
+	Virtual                            float64 // ms that were played
+}
+
+type driver struct {
+	Options
+	script  *script.Script
+	world   *world.World
+	agenda  world.Agenda
+	now     float64
+	all     []*gate
+	wires   map[int64]*wire
+	conns   int64
+	buffers *buffer.Pool
+	how     world.ChannelState
+	told    []channel.News
+	stats   Stats
+}
+
+// gate is one gateway.
+type gate struct {
+	d       *driver
+	number  int
+	core    *gateway.Core
+	pool    *caches.Pool
+	alarm   *world.Entry
+	tick    *world.Entry
+	cursor  int
+	callers map[string]*caller
+	tidied  float64
+	ended   float64 // told to end at; under 0: not
+	by      float64 // ms after which it answers all that is open
+}
+
+// caller is one request's connection.
+type caller struct {
+	g  *gate
+	id string
+}
+
+// Run plays a script to its end.
+func Run(s *script.Script, o Options) (Stats, error) {
+	d := &driver{Options: o, script: s, wires: map[int64]*wire{}, buffers: buffer.NewPool(1 << 34)}
+	d.world = world.New(s, world.Options{Epoch: epoch, Facts: o.Facts})
+	for i := range s.Gateways {
+		d.all = append(d.all, &gate{d: d, number: i})
+	}
+	end := s.Length() + 2*s.Longest() + 10_000
+	for !d.world.Over() && d.now < end {
+		at, ok := d.agenda.Next()
+		due, also := d.world.Next()
+		switch {
+		case also && (!ok || due < at):
+			d.now = due
+			if err := d.carry(d.world.Ring(due)); err != nil {
+				return d.stats, err
+			}
+		case ok:
+			d.now = max(d.now, at)
+			d.agenda.Step()
+		default:
+			return d.stats, fmt.Errorf("nothing is due at %.1f ms", d.now)
+		}
+	}
+	for _, g := range d.all {
+		g.close()
+	}
+	d.stats.Virtual = d.now
+	return d.stats, nil
+}
+
+func (d *driver) unix() float64 { return epoch + d.now }
+
+// soon does something at this time, after what is under way: a core must not be called from within itself.
+func (d *driver) soon(do func()) { d.agenda.Add(d.now, do) }
+
+// post hands an event to the world and carries out what comes of it.
+func (d *driver) post(e world.Event) {
+	d.soon(func() {
+		if err := d.carry(d.world.Handle(d.now, e)); err != nil {
+			panic(err) // only a Start can fail, and no event of a peer's brings one
+		}
+	})
+}
+
+func (d *driver) carry(actions []world.Action) error {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case world.Accept:
+			if w := d.wires[a.Conn]; w != nil {
+				w.accept()
+			}
+		case world.Refuse:
+			d.down(a.Conn)
+		case world.Reset:
+			d.down(a.Conn)
+		case world.Reply:
+			d.reply(a)
+		case world.Publish:
+			if err := d.publish(a); err != nil {
+				return err
+			}
+		case world.Channel:
+			d.how = a.How
+		case world.Ask:
+			d.all[a.Gateway].ask(a.Request)
+		case world.Abort:
+			if g := d.all[a.Gateway]; g.core != nil && g.callers[a.ID] != nil {
+				g.handle(gateway.Aborted{Client: g.callers[a.ID], ID: 1, At: d.unix()})
+			}
+		case world.Start:
+			if err := d.all[a.Gateway].start(); err != nil {
+				return err
+			}
+		case world.Kill:
+			d.all[a.Gateway].close()
+		case world.Term:
+			if g := d.all[a.Gateway]; g.core != nil {
+				g.core.Leave()
+				g.ended = d.now
+			}
+		}
+	}
+	return nil
+}
+
+// publish brings word to all gateways that run, each by its own way.
+func (d *driver) publish(a world.Publish) error {
+	text, err := json.Marshal(a.Event)
+	if err != nil {
+		return err
+	}
+	news, err := channel.Parse(text)
+	if err != nil {
+		return fmt.Errorf("event %d: %w", a.Cursor, err)
+	}
+	d.told = append(d.told, news)
+	takes := wordTakes
+	if d.how == world.Muted {
+		takes = muteTakes
+	}
+	for _, g := range d.all {
+		if g.core == nil {
+			continue
+		}
+		core := g.core
+		d.agenda.Add(d.now+takes, func() {
+			if g.core == core {
+				g.hear(a.Cursor)
+			}
+		})
+	}
+	return nil
+}
+
+// hear tells a gateway all up to a number, in its order and once.
+func (g *gate) hear(cursor int) {
+	for ; g.cursor < cursor; g.cursor++ {
+		if n := g.d.told[g.cursor]; g.d.Tamper.News == nil || g.d.Tamper.News(n) {
+			g.handle(gateway.Told{News: n, At: g.d.unix()})
+		}
+	}
+	g.d.post(world.Heard{Gateway: g.number, Cursor: cursor})
+}
+
+func (g *gate) start() error {
+	d := g.d
+	text, err := Configuration(d.world, g.number, d.script.Limits, "127.0.0.1:1", "127.0.0.1:2", d.Tamper.Settings)
+	if err != nil {
+		return err
+	}
+	c, err := footprint.Parse(text, func(string) string { return "" })
+	if err != nil {
+		return err
+	}
+	cursor, _ := d.world.Known()
+	budget := gateway.Share(c)
+	g.pool = caches.NewPool(caches.Limits{Streams: c.Streams, Idle: c.Idle, Conns: budget.Caches, Reports: c.Reports,
+		Checks: c.Probing, Answer: c.Connect, Names: footprint.Report}, g.dial(c.Connect))
+	log := logrus.FieldLogger(silent)
+	if d.Log != nil {
+		log = d.Log(g.number)
+	}
+	g.core = gateway.NewCore(c, g.pool, log, d.unix())
+	g.cursor, g.callers, g.ended, g.by = cursor, map[string]*caller{}, -1, float64(gateway.AnswerBy(c))/float64(time.Millisecond)
+	g.alarm = d.agenda.Add(math.Inf(1), func() { g.handle(nil) })
+	g.tick = d.agenda.Add(d.now+watchEvery, g.watch)
+	g.handle(nil)
+	d.post(world.Ready{Gateway: g.number})
+	return nil
+}
+
+var silent = func() *logrus.Logger {
+	l := logrus.New()
+	l.SetOutput(io.Discard)
+	l.SetLevel(logrus.PanicLevel)
+	return l
+}()
+
+// handle hands an event to the core, or lets it do what is due.
+func (g *gate) handle(e any) {
+	if g.core == nil {
+		return
+	}
+	if e == nil {
+		g.core.Ring(g.d.unix())
+	} else {
+		g.core.Handle(e)
+	}
+	if at, ok := g.core.Next(); ok {
+		g.d.agenda.Move(g.alarm, max(g.d.now, at-epoch))
+	} else {
+		g.d.agenda.Move(g.alarm, math.Inf(1))
+	}
+}
+
+func (g *gate) watch() {
+	d := g.d
+	if g.core == nil {
+		return
+	}
+	g.core.Watch(d.unix())
+	if d.now >= g.tidied+tidyEvery {
+		g.tidied = d.now
+		g.pool.Tidy(d.unix())
+		if _, drifts := g.core.Drift(); drifts {
+			d.stats.Drifts++
+		}
+	}
+	g.handle(nil)
+	crashes := d.Tamper.Crash != nil && d.Tamper.Crash(g.number, d.now)
+	if g.ended >= 0 && (d.now >= g.ended+g.by || d.now >= g.ended+700 && g.core.Open() == 0) || crashes {
+		if !crashes {
+			g.core.End(d.unix())
+		}
+		g.close()
+		d.post(world.Exited{Gateway: g.number, Crashed: crashes})
+		return
+	}
+	d.agenda.Move(g.tick, d.now+watchEvery)
+}
+
+// close ends a gateway's process: all its connections end with it.
+func (g *gate) close() {
+	if g.core == nil {
+		return
+	}
+	d := g.d
+	d.stats.Downloads += g.core.Taken
+	d.stats.Overdue += g.core.Overdue
+	d.stats.Panics += g.core.Panics
+	d.agenda.Remove(g.alarm)
+	d.agenda.Remove(g.tick)
+	g.core = nil
+	for _, id := range slices.Sorted(maps.Keys(d.wires)) {
+		if w := d.wires[id]; w.g == g {
+			w.over()
+			d.post(world.Hung{Conn: id})
+		}
+	}
+}
+
+func (g *gate) ask(r world.Request) {
+	if g.core == nil {
+		g.d.post(world.Unanswered{ID: r.ID, Refused: true})
+		return
+	}
+	c := &caller{g: g, id: r.ID}
+	g.callers[r.ID] = c
+	var body *buffer.Chain
+	if r.Body > 0 {
+		body = buffer.NewChain(g.d.buffers)
+		body.Append(make([]byte, r.Body))
+	}
+	g.handle(gateway.Asked{Client: c, ID: 1, Params: Params(r), Body: body, At: g.d.unix()})
+}
+
+// Params words a request as the web servers do.
+func Params(r world.Request) map[string]string {
+	p := map[string]string{"SCRIPT_NAME": "/invoke/" + r.Type, "HTTP_X_JOB_ID": r.ID, "HTTP_X_ALLOW_MS": strconv.Itoa(int(r.Allow)),
+		"HTTP_X_ITEM": r.Object, "HTTP_X_N": strconv.Itoa(r.Part), "HTTP_X_SHARD": strconv.Itoa(r.Group)}
+	if r.Mine != "" {
+		p["HTTP_X_MINE"] = r.Mine
+	}
+	return p
+}
+
+// Answer takes what the core tells a client.
+func (c *caller) Answer(_ uint16, a clients.Answer) {
+	d := c.g.d
+	delete(c.g.callers, c.id)
+	if a.None {
+		return
+	}
+	got := world.Answer{Gateway: c.g.number, ID: c.id, Status: a.Status, Wait: a.Wait, Still: a.Still, Copy: Head(a.Body.Parts())}
+	a.Body.Release()
+	answers := []world.Answer{got}
+	if d.Tamper.Answers != nil {
+		answers = d.Tamper.Answers(got)
+	}
+	for _, x := range answers {
+		d.post(x)
+	}
+}
+
+// Head is the first line of a body, which says what copy it is.
+func Head(parts [][]byte) string {
+	if len(parts) == 0 {
+		return ""
+	}
+	for i, b := range parts[0] {
+		if b == '\n' {
+			return string(parts[0][:i])
+		}
+	}
+	return string(parts[0][:min(80, len(parts[0]))])
+}
+
+// Configuration words what the platform tells a gateway.
+func Configuration(w *world.World, number int, l script.Limits, listen, commands string, change func(map[string]any)) ([]byte, error) {
+	name, seed, settings := w.Config(number)
+	if change != nil {
+		change(settings)
+	}
+	cursor, events := w.Known()
+	return json.Marshal(map[string]any{"name": name, "listen": listen, "seed": seed, "channel": commands, "settings": settings,
+		"limits": map[string]any{"cores": 1, "memory_mb": l.MemoryMB, "sockets": l.Sockets},
+		"known":  map[string]any{"cursor": cursor, "cmds": events}})
+}
+
+// wire is a connection between a gateway's pool and a box.
+type wire struct {
+	g        *gate
+	id       int64
+	up       bool
+	closed   bool
+	queue    []*caches.Item // not up yet
+	unsent   []*caches.Item // never will be
+	commands resp.Reader
+	answers  *caches.Parser
+	heard    float64
+	limit    *world.Entry // by when it must be up
+}
+
+func (g *gate) dial(within float64) func(string) caches.Wire {
+	return func(address string) caches.Wire {
+		d := g.d
+		d.conns++
+		w := &wire{g: g, id: d.conns, answers: caches.NewParser(d.buffers)}
+		d.wires[w.id] = w
+		d.post(world.Dialled{Conn: w.id, Address: address})
+		w.limit = d.agenda.Add(d.now+within, func() {
+			if !w.up && !w.closed {
+				w.end()
+				d.post(world.Hung{Conn: w.id})
+			}
+		})
+		return w
+	}
+}
+
+func (w *wire) accept() {
+	if w.closed {
+		return
+	}
+	w.up = true
+	w.g.d.agenda.Remove(w.limit)
+	w.g.handle(caches.Up{Wire: w})
+	queue := w.queue
+	w.queue = nil
+	for _, i := range queue {
+		w.write(i)
+	}
+}
+
+func (w *wire) Send(i *caches.Item) bool {
+	if w.closed {
+		i.Wrote(false)
+		return false
+	}
+	if w.up {
+		w.write(i)
+	} else {
+		w.queue = append(w.queue, i)
+	}
+	return true
+}
+
+func (w *wire) write(i *caches.Item) {
+	i.Take()
+	var bytes []byte
+	for _, p := range i.Pieces(nil) {
+		bytes = append(bytes, p...)
+	}
+	i.Wrote(true)
+	found, err := w.commands.Feed(bytes)
+	for _, c := range found {
+		w.g.d.post(world.Command{Conn: w.id, Verb: c.Verb, ID: c.ID, Fields: c.Fields, Body: c.Body})
+	}
+	if err != nil { // a box that can't read a command closes its connection
+		w.g.d.post(world.Hung{Conn: w.id})
+		w.g.d.soon(w.end)
+	}
+}
+
+func (w *wire) Remove(i *caches.Item) bool {
+	if slices.Contains(w.unsent, i) {
+		return true
+	}
+	n := slices.Index(w.queue, i)
+	if n < 0 {
+		return false
+	}
+	w.queue = slices.Delete(w.queue, n, n+1)
+	i.Wrote(false)
+	return true
+}
+
+func (w *wire) Stuck() bool            { return false }
+func (w *wire) Heard() (float64, bool) { return w.heard, false }
+
+func (w *wire) Close() {
+	if !w.closed {
+		w.over()
+		w.g.d.post(world.Hung{Conn: w.id})
+		w.down(w.up)
+	}
+}
+
+// over lets go of what was never written.
+func (w *wire) over() {
+	w.closed = true
+	delete(w.g.d.wires, w.id)
+	w.g.d.agenda.Remove(w.limit)
+	for _, i := range w.queue {
+		i.Wrote(false)
+	}
+	w.unsent, w.queue = w.queue, nil
+	w.answers.Release()
+}
+
+func (w *wire) end() {
+	if !w.closed {
+		w.over()
+		w.down(w.up)
+	}
+}
+
+// down tells the pool that the connection is no more.
+func (w *wire) down(up bool) {
+	d, core := w.g.d, w.g.core
+	d.soon(func() {
+		if w.g.core == core {
+			w.g.handle(caches.Down{Wire: w, Up: up, At: d.unix()})
+		}
+	})
+}
+
+func (d *driver) down(conn int64) {
+	if w := d.wires[conn]; w != nil {
+		w.end()
+	}
+}
+
+func (d *driver) reply(r world.Reply) {
+	w := d.wires[r.Conn]
+	if w == nil {
+		return
+	}
+	if d.Tamper.Reply != nil {
+		r = d.Tamper.Reply(r)
+	}
+	bytes := resp.Answer(nil, r.Tag, r.Word, r.Fields, r.Body)
+	if r.Cut {
+		bytes = bytes[:len(bytes)-len(r.Body)/2-2]
+	}
+	w.heard = d.unix()
+	found, err := w.answers.Feed(bytes, nil)
+	for _, reply := range found {
+		w.g.handle(caches.Answered{Wire: w, Reply: reply, At: d.unix()})
+	}
+	if err != nil || r.Cut {
+		w.end()
+	}
+}
--- /dev/null
+++ b/internal/rehearsal/virtual/virtual_test.go
@@ -0,0 +1,200 @@
+package virtual
+
+import (
+	"bytes"
+	"fmt"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+
+	"poppymill/internal/assert"
+	"poppymill/internal/channel"
+	"poppymill/internal/rehearsal/auditor"
+	"poppymill/internal/rehearsal/report"
+	"poppymill/internal/rehearsal/script"
+	"poppymill/internal/rehearsal/world"
+	"poppymill/router"
+)
+
+// play runs a script and returns its report and what was found.
+func play(t *testing.T, s *script.Script, tamper Tamper) (*report.Report, *auditor.Auditor, Stats) {
+	t.Helper()
+	count, audit := report.New(s), auditor.New(s, 0)
+	stats, err := Run(s, Options{Tamper: tamper, Facts: func(f world.Fact) {
+		audit.See(f)
+		count.See(f)
+	}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return count.Report(audit), audit, stats
+}
+
+// The scripts that are handed out hold, and the same script and seed give the same report to the byte.
+func TestScripts(t *testing.T) {
+	files, err := filepath.Glob("../../../deploy/rehearsals/*.hcl")
+	if err != nil || len(files) == 0 {
+		t.Fatalf("%d scripts, %v", len(files), err)
+	}
+	for _, f := range files {
+		t.Run(filepath.Base(f), func(t *testing.T) {
+			t.Parallel()
+			var texts [2]bytes.Buffer
+			for i := range texts {
+				s, err := script.Load(f)
+				if err != nil {
+					t.Fatal(err)
+				}
+				r, _, stats := play(t, s, Tamper{})
+				if err := r.JSON(&texts[i]); err != nil {
+					t.Fatal(err)
+				}
+				if stats.Drifts+stats.Overdue+stats.Panics != 0 || stats.Downloads == 0 {
+					t.Errorf("%+v", stats)
+				}
+				if !r.Outcome.Holds {
+					r.Print(&texts[i])
+					t.Fatal(texts[i].String())
+				}
+			}
+			if !bytes.Equal(texts[0].Bytes(), texts[1].Bytes()) {
+				t.Error("two plays differ")
+			}
+		})
+	}
+	if n := assert.Broken(); n != 0 {
+		t.Errorf("%d asserts broken", n)
+	}
+}
+
+// small is a short day on which everything that the rules speak of happens.
+const small = `
+about = "all that the rules speak of, in eight seconds"
+deployment {
+  clubs = ["a", "b"]
+  gateways = 3
+  box {
+    count = 6
+    held  = 0.6
+    errors = 0.002
+  }
+  hub {
+    held = 0.6
+    cold_share = 0.02
+    cold_for = "60s"
+    cores_from = 8
+    cores_to = 8
+  }
+}
+type "parts" {
+  share = 0.8
+  work = "120ms"
+  target = "600ms"
+  expiry = "3s"
+  objects = 60
+  parts = 3
+  gap = "200ms"
+}
+type "renewal" {
+  share = 0.2
+  work = "20ms"
+  target = "800ms"
+  expiry = "3s"
+  repeat = "non-retriable"
+  write = true
+}
+phase "all" {
+  for = "8s"
+  rate = 150
+}
+event "drain" {
+  at = "2s"
+  for = "4s"
+  count = 2
+}
+event "purge" {
+  at = "3s"
+  groups = 150
+}
+event "lose" {
+  at = "1s"
+  for = "5s"
+  share = 0.2
+  on = "core"
+}
+event "replace" {
+  at = "1500ms"
+  on = "hub"
+}
+event "kill" {
+  at = "4500ms"
+  on = "gateway"
+}
+`
+
+// Each check bites: with one fault put into the gateways the auditor names that rule and no other, and the download,
+// gateway and time of it; without one it finds nothing.
+func TestAuditorBites(t *testing.T) {
+	n := 0
+	every := func(k int) bool { n++; return n%k == 0 }
+	for _, c := range []struct {
+		name   string
+		rule   auditor.Rule
+		tamper Tamper
+	}{
+		{"nothing", auditor.Rules, Tamper{}},
+		{"answers twice", auditor.OneAnswer, Tamper{Answers: func(a world.Answer) []world.Answer {
+			if every(50) {
+				return []world.Answer{a, a}
+			}
+			return []world.Answer{a}
+		}}},
+		{"forgets one", auditor.OneAnswer, Tamper{Answers: func(a world.Answer) []world.Answer {
+			if every(50) {
+				return nil
+			}
+			return []world.Answer{a}
+		}}},
+		{"answers what it was not asked", auditor.OneAnswer, Tamper{Answers: func(a world.Answer) []world.Answer {
+			if every(50) && a.Copy != "" {
+				a.Copy = "0000000000000000" + a.Copy[16:]
+			}
+			return []world.Answer{a}
+		}}},
+		{"takes what may have run for what did not", auditor.NoRepeat, Tamper{Reply: func(r world.Reply) world.Reply {
+			if r.Word == "BROKE" {
+				r.Word = "WAIT"
+			}
+			return r
+		}}},
+		{"ignores a drain", auditor.Drains, Tamper{News: func(n channel.News) bool {
+			return !slices.ContainsFunc(n.Nodes, func(n channel.Node) bool { return n.State == router.Draining })
+		}}},
+		{"ignores a purge", auditor.Purges, Tamper{News: func(n channel.News) bool { return !n.Purge }}},
+		{"floods a cold hub", auditor.Cold, Tamper{Settings: func(s map[string]any) {
+			extra := s["extra"].(map[string]any)
+			extra["parent_cold_from"], extra["upper_cold"] = 1.0, 0.0
+		}}},
+		{"ends by itself", auditor.Alive, Tamper{Crash: func(g int, now float64) bool { return g == 1 && now > 3000 && now < 3200 }}},
+	} {
+		n = 0
+		s, err := script.Parse([]byte(small), "small.hcl")
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, audit, _ := play(t, s, c.tamper)
+		for r := range auditor.Rules {
+			if found := audit.Counts[r] > 0; found != (r == c.rule) {
+				t.Errorf("%s: %d findings on %v: %v", c.name, audit.Counts[r], r, audit.Found[r][:min(2, len(audit.Found[r]))])
+			}
+		}
+		if c.rule < auditor.Rules && len(audit.Found[c.rule]) > 0 {
+			f := audit.Found[c.rule][0]
+			placed := f.At > 0 && f.What != "" && (c.rule == auditor.Cold && f.Box != "" || c.rule == auditor.Alive && f.Gateway == 1 || f.ID != "" && f.Gateway >= 0)
+			if !placed || !strings.Contains(fmt.Sprint(f), "ms") {
+				t.Errorf("%s: a finding that names too little: %v", c.name, f)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/rehearsal/world/config.go
@@ -0,0 +1,56 @@
+package world
+
+// Config is what the platform tells a gateway, but for its addresses, limits and what the channel has told.
+func (w *World) Config(number int) (name, seed string, settings map[string]any) {
+	s, g := w.script, w.gateways[number]
+	name = "gateway-" + string(rune('a'+number%26)) + "-" + g.zone
+	seed = w.draws.id("gateway", number, g.starts)
+	zones, seats, attached, pipes := []any{}, []any{}, []any{}, []any{}
+	hubs := map[string]int{}
+	for _, b := range w.order {
+		if b.role == edge {
+			continue
+		}
+		if _, known := hubs[b.zone]; !known {
+			hubs[b.zone] = len(zones)
+			zones, seats, attached, pipes = append(zones, b.zone), append(seats, 0.0), append(attached, float64(len(hubs)-1)), append(pipes, 0.0)
+		}
+	}
+	for _, c := range s.Clubs {
+		n := 0
+		for _, g := range w.gateways {
+			if g.zone == c {
+				n++
+			}
+		}
+		zones, seats, attached = append(zones, c), append(seats, float64(n)), append(attached, float64(hubs[w.hubOf[c]]))
+		pipes = append(pipes, s.Link/1000)
+	}
+	repeat := map[string]string{"retriable": "pure", "deduped": "token", "non-retriable": "side_effect"}
+	var classes []any
+	var pieces, writes, fresh, grace, old []any
+	for _, t := range s.Types {
+		classes = append(classes, map[string]any{"name": t.Name, "promise": t.Target, "aim_stretch": t.Stretch, "hard_limit": t.Expiry,
+			"effect": repeat[t.Repeat], "key_scope": t.Scope, "key_ttl": t.Window, "worth": t.Benefit, "late_worth": t.Late})
+		pieces, writes = append(pieces, t.Parts > 1), append(writes, t.Write)
+		fresh, grace, old = append(fresh, t.Fresh), append(grace, t.Grace), append(old, t.OldWorth)
+	}
+	return name, seed, map[string]any{
+		"azs": zones, "zone": g.zone, "index": number, "replicas_of_me": len(w.gateways), "kinds": []any{"box", "hub", "core"},
+		"weights": "rough", "discovery": "pushed", "classes": classes,
+		"extra": map[string]any{"parent_kind": 1, "source_kind": 2, "detail": "hit", "siblings": "none", "bypass_allowed": false,
+			"can_join": false, "class_write": writes, "in_pieces": pieces, "max_age": fresh, "grace_for": grace, "class_stale_worth": old,
+			"one_flow_kb_per_s": s.Flow / 1000, "seats_by_zone": seats, "attached_to": attached, "pipe_kb_per_s": pipes,
+			"purge_settles": s.Rules.PurgeSettles, "heed_within": s.Rules.PurgeGrace, "parent_cold_from": s.Hub.ColdShare,
+			"upper_cold": s.Hub.ColdFor, "upper_fall_multiple": s.Hub.FallMultiple, "origin_stops_at": s.Core.StopsAt,
+			"origin_fall": s.Core.StopsPush},
+		"permissions": map[string]any{"cancel": true, "probing": true, "second_copies": true, "retry_after": true, "max_retry_after": 500,
+			"send_cap": 8, "max_open": 20_000, "streams_per_conn": 32, "connect_timeout": 400, "keepalive": 30_000},
+		"report": map[string]any{"how": "answers", "fields": []any{"inflight", "util"}},
+		"rules": map[string]any{"answer_slack": 8, "drain_grace": s.Rules.DrainGrace, "cold_share": s.Box.ColdShare, "cold": s.Box.ColdFor,
+			"fall": s.Box.FallFor, "fall_multiple": s.Box.FallMultiple},
+	}
+}
+
+// Zone is the club of a gateway.
+func (w *World) Zone(number int) string { return w.gateways[number].zone }
--- /dev/null
+++ b/internal/rehearsal/world/door.go
@@ -0,0 +1,225 @@
+// Package world is a deployment that a gateway can be rehearsed against: edge caches, hubs, the member core, the links
+// between them, the list of boxes, and the clients. It is pure: events come in with their time, actions go out; there is
+// no goroutine, socket or clock in it, and all chance comes from the script's seed, each draw keyed by what it is for.
+//
+// This file is its interface. Times are milliseconds since the start of the rehearsal, sizes bytes, work milliseconds of
+// one core at speed 1. Gateways are known by number, boxes by id, connections by a number of the driver's.
+package world
+
+// Events, which a driver hands to World.Handle.
+type (
+	// Dialled is a connection that a gateway opens to an address.
+	Dialled struct {
+		Conn    int64
+		Address string
+	}
+	// Command is one command on such a connection: GET, DROP, PING or LOAD.
+	Command struct {
+		Conn     int64
+		Verb, ID string
+		Fields   map[string]string
+		Body     int // bytes
+	}
+	// Hung is a connection that the gateway has closed, or that broke.
+	Hung struct{ Conn int64 }
+	// Answer is what a gateway told a client.
+	Answer struct {
+		Gateway int
+		ID      string
+		Status  int
+		Wait    float64 // ms; 0: none was told
+		Still   bool
+		Copy    string // the head of the body: which copy it is
+	}
+	// Unanswered is a request whose connection was refused or ended before an answer.
+	Unanswered struct {
+		ID      string
+		Refused bool // it was never taken
+	}
+	// Ready is a gateway that answers as healthy after its start.
+	Ready struct{ Gateway int }
+	// Exited is a gateway whose process has ended. Crashed: nobody had told it to.
+	Exited struct {
+		Gateway int
+		Crashed bool
+	}
+	// Heard tells that a gateway has been told the channel's events up to a number.
+	Heard struct {
+		Gateway int
+		Cursor  int
+	}
+)
+
+// Actions, which the driver carries out in their order.
+type (
+	// Accept lets a connection up.
+	Accept struct{ Conn int64 }
+	// Refuse refuses it.
+	Refuse struct{ Conn int64 }
+	// Reset ends it at once.
+	Reset struct{ Conn int64 }
+	// Reply is an answer on it.
+	Reply struct {
+		Conn              int64
+		Tag, Word, Fields string
+		Body              []byte
+		Cut               bool // it stops amid the body, and the connection ends
+	}
+	// Listen opens an address of that name to connections; the driver may give it any real one.
+	Listen struct{ Address string }
+	// Shut closes it: connections are refused. Mute: they are neither accepted nor refused.
+	Shut struct {
+		Address string
+		Mute    bool
+	}
+	// Publish puts an event into the command channel, for all gateways.
+	Publish struct {
+		Cursor int
+		Event  map[string]any
+	}
+	// Channel changes how the command channel behaves until its next change.
+	Channel struct{ How ChannelState }
+	// Ask sends a client's request to a gateway.
+	Ask struct {
+		Gateway int
+		Request
+	}
+	// Abort takes it back.
+	Abort struct {
+		Gateway int
+		ID      string
+	}
+	// Start, Kill, Term and Hup act on a gateway's process: started anew from nothing, killed outright, told to end,
+	// told to read its configuration again.
+	Start struct{ Gateway int }
+	Kill  struct{ Gateway int }
+	Term  struct{ Gateway int }
+	Hup   struct{ Gateway int }
+)
+
+// ChannelState is how the command channel behaves.
+type ChannelState int
+
+// The states of the channel.
+const (
+	Whole     ChannelState = iota
+	Broken                 // its connections break, once, and new ones come up
+	Muted                  // it says nothing more, while its connections stay
+	Repeating              // it says everything twice
+)
+
+// Request is one request of a client.
+type Request struct {
+	ID, Type, Object string
+	Part, Group      int
+	Allow            float64 // ms that the client waits
+	Mine             string  // tag of a copy that it holds
+	Body             int     // bytes that it sends
+}
+
+// Fact is one of the types below. The world tells facts to whoever judges or counts; it never takes a gateway's word.
+type Fact any
+
+// Facts, in the order in which they happen.
+type (
+	// Asked: a request went to a gateway.
+	Asked struct {
+		At, Expiry float64
+		Gateway    int
+		Repeat     string // may it run twice: retriable, deduped, non-retriable
+		First      bool   // it is no client's retry
+		Request
+	}
+	// Answered: a client got an answer.
+	Answered struct {
+		At float64
+		Answer
+	}
+	// Ended: a request is over for its client without an answer.
+	Ended struct {
+		At      float64
+		ID, Why string
+	}
+	// Pulled: a GET came whole to a box.
+	Pulled struct {
+		At                float64
+		Gateway           int
+		ID, Object, Type  string
+		Part, Group       int
+		Box, Zone, Source string
+		Cell              int
+	}
+	// Served: a box ended a GET with a word; Born is when the core gave out the copy served.
+	Served struct {
+		At      float64
+		ID, Box string
+		Word    string
+		Note    string
+		Born    float64
+		Copy    bool
+	}
+	// Ran: a write took effect.
+	Ran struct {
+		At float64
+		ID string
+	}
+	// Told: a gateway was told of a box's state, or of a purge at a time.
+	Told struct {
+		At         float64
+		Gateway    int
+		Box, State string
+		Purged     string // object, or empty
+		Group      int    // -1: none
+		When       float64
+	}
+	// Pushed: what was sent to a cold box in the last window is over what its state bears, and it falls over.
+	Pushed struct {
+		At            float64
+		Box           string
+		Sent, Allowed float64
+	}
+	// Fell: a box or the core stopped since it was asked for too much.
+	Fell struct {
+		At  float64
+		Box string
+	}
+	// Made: the core was asked for an object.
+	Made struct{ At float64 }
+	// Moved: bytes went over a link.
+	Moved struct {
+		At    float64
+		Link  string
+		Bytes float64
+	}
+	// Wanted: what a client wanted, over all its tries, has come to its end.
+	Wanted struct {
+		At, Asked float64
+		Type      string
+		Verdict   Verdict
+		Tries     int
+	}
+	// Restarted: a gateway has started anew.
+	Restarted struct {
+		At      float64
+		Gateway int
+	}
+	// Down: a gateway is gone. Crashed: nobody had told it to.
+	Down struct {
+		At      float64
+		Gateway int
+		Crashed bool
+	}
+)
+
+// Verdict is how a want ended.
+type Verdict int
+
+// The verdicts.
+const (
+	InTime Verdict = iota
+	Late
+	Throttled
+	Abandoned
+	Lost // never answered
+	Left // its client went first
+)
--- /dev/null
+++ b/internal/rehearsal/world/draw.go
@@ -0,0 +1,80 @@
+package world
+
+import (
+	"encoding/binary"
+	"fmt"
+	"math"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"poppymill/router"
+)
+
+// draws makes chance from one seed. Each draw is keyed by what it is for, so that the order in which gateways happen to
+// arrive, or one more retry, changes nothing else of the day.
+type draws uint64
+
+func (d draws) key(words ...any) uint64 {
+	h := xxhash.NewWithSeed(uint64(d))
+	for _, w := range words {
+		switch w := w.(type) {
+		case string:
+			h.WriteString(w)
+			h.Write([]byte{0})
+		case int:
+			var b [8]byte
+			binary.LittleEndian.PutUint64(b[:], uint64(w))
+			h.Write(b[:])
+		default:
+			panic(fmt.Sprintf("a draw keyed by %T", w))
+		}
+	}
+	return h.Sum64()
+}
+
+// chance is a generator for what the words name.
+func (d draws) chance(words ...any) router.Chance {
+	c := router.Chance(d.key(words...)>>1 | 1)
+	c.Next()
+	return c
+}
+
+func (d draws) below(words ...any) float64 {
+	c := d.chance(words...)
+	return c.Below()
+}
+
+func (d draws) id(words ...any) string { return fmt.Sprintf("%016x", d.key(words...)) }
+
+// between is a number from a to b.
+func between(c *router.Chance, a, b float64) float64 { return a + (b-a)*c.Below() }
+
+// pause is a time between events that come at random at a rate.
+func pause(c *router.Chance, rate float64) float64 { return -math.Log(1-c.Below()) / rate }
+
+// skewed is log-normal with mean 1.
+func skewed(c *router.Chance, sigma float64) float64 {
+	u, v := 1-c.Below(), c.Below()
+	return math.Exp(sigma*math.Sqrt(-2*math.Log(u))*math.Cos(2*math.Pi*v) - sigma*sigma/2)
+}
+
+// zipf picks ranks by Zipf's law.
+type zipf []float64
+
+func newZipf(n int, skew float64) zipf {
+	z, sum := make(zipf, n), 0.0
+	for i := range z {
+		sum += math.Pow(float64(i+1), -skew)
+		z[i] = sum
+	}
+	return z
+}
+
+func (z zipf) pick(u float64) int {
+	i, _ := slices.BinarySearch(z, u*z[len(z)-1])
+	return min(i, len(z)-1)
+}
+
+// ring sums what was noted in the last span, in fixed buckets.
+func newRing(span float64) router.Ring { return router.NewRing(span*1.1, 11) }
