Rehearsals on sockets: real gateway processes, boxes, channel and clients over loopback

Need: the same script on real processes, with nothing left over whatever ends it. It says when the machine was too slow (HdrHistogram of its lateness) and then gives no outcome.

--- /dev/null
+++ b/internal/rehearsal/sockets/stage.go
@@ -0,0 +1,328 @@
+// Package sockets plays a rehearsal on real sockets over loopback: real gateway processes, configured as the platform
+// does, between FastCGI clients, RESP boxes and the command channel. It is the driver of a world and decides nothing.
+// Ports are the system's choice; all that it starts is ended and waited for.
+package sockets
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"math"
+	"net"
+	"os"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"poppymill/internal/clients"
+	"poppymill/internal/rehearsal/script"
+	"poppymill/internal/rehearsal/world"
+)
+
+// Slack is what real machines and a real network may add to a time of the rules, in ms.
+const Slack = 50.0
+
+// What counts as a machine that was fast enough: how late, in ms, the stage may be with what is due, in one of a hundred
+// cases and in the worst.
+const (
+	lateMost  = 40.0
+	worstMost = 400.0
+)
+
+// Options of a stage.
+type Options struct {
+	Binary    string                   // of the gateways; none are started where it is empty
+	Logs      string                   // folder for the gateways' logs; empty: none are kept
+	Addresses func(name string) string // real addresses to listen at, by box and for "channel"; nil: the system's choice
+	Facts     func(world.Fact)
+	Progress  func(at, length float64)
+}
+
+// Stage is one rehearsal on sockets.
+type Stage struct {
+	Options
+	script   *script.Script
+	world    *world.World
+	start    time.Time
+	inbox    chan func()
+	ctx      context.Context
+	stop     context.CancelCauseFunc
+	live     sync.WaitGroup
+	dir      string
+	boxes    map[string]*endpoint
+	conns    map[int64]*conn
+	numbers  int64
+	gateways []*process
+	late     *hdrhistogram.Histogram
+}
+
+// New makes a stage; Run plays it.
+func New(s *script.Script, o Options) (*Stage, error) {
+	dir, err := os.MkdirTemp("", "rehearsal")
+	if err != nil {
+		return nil, err
+	}
+	st := &Stage{Options: o, script: s, inbox: make(chan func(), 4096), dir: dir, boxes: map[string]*endpoint{}, conns: map[int64]*conn{},
+		late: hdrhistogram.New(1, 60_000_000, 3), start: time.Now()}
+	if st.Addresses == nil {
+		st.Addresses = func(string) string { return "127.0.0.1:0" }
+	}
+	st.ctx, st.stop = context.WithCancelCause(context.Background())
+	st.world = world.New(s, world.Options{Epoch: float64(st.start.UnixMicro()) / 1000, Thin: 16, Facts: o.Facts})
+	for i := range s.Gateways {
+		p := &process{stage: st, number: i}
+		if err := p.reserve(); err != nil {
+			st.stop(err)
+			for _, p := range st.gateways {
+				p.end()
+			}
+			st.live.Wait()
+			return nil, errors.Join(err, os.RemoveAll(dir))
+		}
+		st.gateways = append(st.gateways, p)
+	}
+	return st, nil
+}
+
+func (s *Stage) now() float64 { return float64(time.Since(s.start)) / float64(time.Millisecond) }
+
+// post hands something to the loop; it is dropped once the stage has ended.
+func (s *Stage) post(do func()) {
+	select {
+	case s.inbox <- do:
+	case <-s.ctx.Done():
+	}
+}
+
+// event hands an event to the world at the time at which it happened.
+func (s *Stage) event(at float64, e world.Event) {
+	s.post(func() { s.carry(s.world.Handle(at, e)) })
+}
+
+// Do has the loop do something with the world, and waits for it.
+func (s *Stage) Do(do func(w *world.World)) {
+	done := make(chan bool)
+	s.post(func() {
+		do(s.world)
+		s.carry(s.world.Ring(s.now()))
+		close(done)
+	})
+	select {
+	case <-done:
+	case <-s.ctx.Done():
+	}
+}
+
+// spawn runs something that is waited for at the end.
+func (s *Stage) spawn(do func()) {
+	s.live.Add(1)
+	go func() {
+		defer s.live.Done()
+		do()
+	}()
+}
+
+// errOver ends a stage that was played through.
+var errOver = errors.New("the rehearsal is over")
+
+// ErrSlow tells that the machine was too slow for the outcome to count.
+var ErrSlow = errors.New("the machine was too slow for the outcome to count")
+
+// Run plays the script until its end, or until the context's; whatever happens, nothing that it started is left.
+func (s *Stage) Run(ctx context.Context) error {
+	defer context.AfterFunc(ctx, func() { s.stop(context.Cause(ctx)) })()
+	s.loop()
+	for _, p := range s.gateways {
+		p.kill()
+	}
+	s.live.Wait()
+	err := context.Cause(s.ctx)
+	if errors.Is(err, errOver) {
+		err = nil
+	}
+	if worst, high := float64(s.late.Max())/1000, float64(s.late.ValueAtQuantile(99))/1000; err == nil && (high > lateMost || worst > worstMost) {
+		err = fmt.Errorf("%w: the stage was up to %.0f ms late, %.0f ms in one of a hundred cases", ErrSlow, worst, high)
+	}
+	return errors.Join(err, os.RemoveAll(s.dir))
+}
+
+// Lateness tells how late the stage was with what was due, in ms: one of a hundred cases, and the worst.
+func (s *Stage) Lateness() (high, worst float64) {
+	return float64(s.late.ValueAtQuantile(99)) / 1000, float64(s.late.Max()) / 1000
+}
+
+func (s *Stage) loop() {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	shown := -math.MaxFloat64
+	for s.ctx.Err() == nil {
+		now := s.now()
+		due, ok := s.world.Next()
+		if ok && due <= now {
+			s.late.RecordValue(min(60_000_000, max(1, int64(1000*(now-due)))))
+			s.carry(s.world.Ring(now))
+			if due, ok = s.world.Next(); ok && due <= now {
+				continue
+			}
+		}
+		if s.Progress != nil && now >= shown+500 {
+			shown = now
+			s.Progress(now, s.script.Length())
+		}
+		if s.world.Over() || now > s.script.Length()+2*s.script.Longest()+10_000 {
+			s.stop(errOver)
+			break
+		}
+		wait := 100 * time.Millisecond
+		if ok {
+			wait = min(wait, time.Duration(max(0, due-s.now())*float64(time.Millisecond)))
+		}
+		timer.Reset(wait)
+		select {
+		case do := <-s.inbox:
+			do()
+		case <-timer.C:
+		case <-s.ctx.Done():
+		}
+	}
+	for _, e := range s.boxes {
+		e.shut(false)
+	}
+	for _, c := range s.conns {
+		c.reset()
+	}
+	for _, p := range s.gateways {
+		p.end()
+	}
+}
+
+func (s *Stage) carry(actions []world.Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case world.Listen:
+			s.listen(a.Address)
+		case world.Shut:
+			if e := s.boxes[a.Address]; e != nil {
+				e.shut(a.Mute)
+			}
+		case world.Refuse:
+			s.drop(a.Conn)
+		case world.Reset:
+			s.drop(a.Conn)
+		case world.Reply:
+			if c := s.conns[a.Conn]; c != nil {
+				c.reply(a)
+			}
+		case world.Publish:
+			for _, p := range s.gateways {
+				p.channel.tell(s.real(a.Event))
+			}
+		case world.Channel:
+			for _, p := range s.gateways {
+				p.channel.set(a.How)
+			}
+		case world.Ask:
+			s.gateways[a.Gateway].ask(a.Request)
+		case world.Abort:
+			s.gateways[a.Gateway].abort(a.ID)
+		case world.Start:
+			if err := s.gateways[a.Gateway].start(); err != nil {
+				s.stop(err)
+			}
+		case world.Kill:
+			s.gateways[a.Gateway].kill()
+		case world.Term:
+			s.gateways[a.Gateway].signal(syscall.SIGTERM)
+		case world.Hup:
+			if err := s.gateways[a.Gateway].reload(); err != nil {
+				s.stop(err)
+			}
+		}
+	}
+}
+
+// real puts real addresses into an event of the channel.
+func (s *Stage) real(event map[string]any) map[string]any {
+	nodes, ok := event["nodes"].(map[string]any)
+	if !ok {
+		return event
+	}
+	event, nodes = maps.Clone(event), maps.Clone(nodes)
+	event["nodes"] = nodes
+	var all []any
+	for _, p := range nodes["endpoints"].([]any) {
+		p := maps.Clone(p.(map[string]any))
+		if e := s.boxes[p["address"].(string)]; e != nil {
+			p["address"] = e.address
+		}
+		all = append(all, p)
+	}
+	nodes["endpoints"] = all
+	return event
+}
+
+func (s *Stage) known() (int, []map[string]any) {
+	cursor, events := s.world.Known()
+	for i := range events {
+		events[i] = s.real(events[i])
+	}
+	return cursor, events
+}
+
+// drop ends a connection as a process that dies does.
+func (s *Stage) drop(id int64) {
+	if c := s.conns[id]; c != nil {
+		delete(s.conns, id)
+		c.reset()
+	}
+}
+
+// Gateways are the addresses at which the gateways take clients.
+func (s *Stage) Gateways() (all []string) {
+	for _, p := range s.gateways {
+		all = append(all, p.address)
+	}
+	return all
+}
+
+// Channel is the address of the command channel as one gateway is told it.
+func (s *Stage) Channel(gateway int) string { return s.gateways[gateway].channel.address() }
+
+// Configuration is what one gateway is told, as JSON.
+func (s *Stage) Configuration(gateway int) (text []byte, err error) {
+	s.Do(func(*world.World) { text, err = s.gateways[gateway].configuration() })
+	return text, err
+}
+
+// response turns what a client got into the world's words.
+func response(gateway int, id string, r clients.Response) world.Answer {
+	a := world.Answer{Gateway: gateway, ID: id, Status: r.Status, Still: r.Fields["X-Still"] == "1"}
+	fmt.Sscan(r.Fields["X-Wait-Ms"], &a.Wait)
+	head := r.Body[:min(len(r.Body), 120)]
+	if i := slices.Index(head, '\n'); i >= 0 {
+		head = head[:i]
+	}
+	a.Copy = string(head)
+	return a
+}
+
+func encode(event map[string]any) []byte {
+	text, err := json.Marshal(event)
+	if err != nil {
+		panic(err) // the world's own words
+	}
+	return text
+}
+
+func listen(address string) (*net.TCPListener, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return l.(*net.TCPListener), nil
+}
--- a/internal/rehearsal/world/config.go
+++ b/internal/rehearsal/world/config.go
@@ -1,5 +1,10 @@
 package world
 
+import (
+	"encoding/json"
+	"strconv"
+)
+
 // Config is what the platform tells a gateway, but for its addresses, limits and what the channel has told.
 func (w *World) Config(number int) (name, seed string, settings map[string]any) {
 	s, g := w.script, w.gateways[number]
@@ -54,3 +59,28 @@
 
 // Zone is the club of a gateway.
 func (w *World) Zone(number int) string { return w.gateways[number].zone }
+
+// Params words a request as the web servers do.
+func Params(r Request) map[string]string {
+	p := map[string]string{"SCRIPT_NAME": "/invoke/" + r.Type, "HTTP_X_JOB_ID": r.ID, "HTTP_X_ALLOW_MS": strconv.Itoa(int(r.Allow)),
+		"HTTP_X_ITEM": r.Object, "HTTP_X_N": strconv.Itoa(r.Part), "HTTP_X_SHARD": strconv.Itoa(r.Group)}
+	if r.Mine != "" {
+		p["HTTP_X_MINE"] = r.Mine
+	}
+	return p
+}
+
+// Configuration words what the platform tells a gateway, as JSON. Known is what the channel has told so far; change, if
+// there is one, puts a fault into the settings.
+func (w *World) Configuration(number int, listen, channel string, known func() (int, []map[string]any),
+	change func(map[string]any)) ([]byte, error) {
+	name, seed, settings := w.Config(number)
+	if change != nil {
+		change(settings)
+	}
+	l := w.script.Limits
+	cursor, events := known()
+	return json.MarshalIndent(map[string]any{"name": name, "listen": listen, "seed": seed, "channel": channel, "settings": settings,
+		"limits": map[string]any{"cores": 1, "memory_mb": l.MemoryMB, "sockets": l.Sockets},
+		"known":  map[string]any{"cursor": cursor, "cmds": events}}, "", "  ")
+}
