--- a/internal/rehearsal/world/box.go
+++ b/internal/rehearsal/world/box.go
@@ -254,7 +254,8 @@
 			b.store.put(m, 1)
 		}
 	}
-	return b.store.get(r.key, r.least)
+	// By the time that the settings give for it, a purge has gone through to every box.
+	return b.store.get(r.key, max(r.least, w.settled(r.key.object, r.typ.group(w, r.key.object))))
 }
 
 // send is a copy's way out of an edge cache.
@@ -352,7 +353,7 @@
 		return
 	}
 	f := b.fetching[r.key]
-	if f == nil || f.born < r.least {
+	if f == nil || f.born < max(r.least, w.settled(r.key.object, r.typ.group(w, r.key.object))) {
 		f = &fetch{born: w.now}
 		b.fetching[r.key] = f
 		from := w.core()
--- a/internal/rehearsal/world/list.go
+++ b/internal/rehearsal/world/list.go
@@ -120,6 +120,19 @@
 	})
 }
 
+// settled is when the last purge of an object or its group was that has gone through to every box by now.
+func (w *World) settled(object string, group int) float64 {
+	last := -1e18
+	for _, all := range [][]float64{w.purged[object], w.groups[group]} {
+		for _, at := range all {
+			if at <= w.now-w.script.Rules.PurgeSettles {
+				last = max(last, at)
+			}
+		}
+	}
+	return last
+}
+
 // tag names an edition: what the core gives out changes with each purge.
 func (w *World) tag(k key, group int, born float64) string {
 	n := 0
