--- a/deploy/rehearsals/gateways-killed.hcl
+++ b/deploy/rehearsals/gateways-killed.hcl
@@ -70,28 +70,28 @@
 
 phase "before" {
   for  = "8s"
-  rate = 220
+  rate = 280
   expect {
     in_time = 0.95
   }
 }
 phase "release" {
   for  = "14s"
-  rate = 220
+  rate = 280
   expect {
     in_time = 0.7
   }
 }
 phase "restarts" {
   for  = "16s"
-  rate = 220
+  rate = 280
   expect {
-    in_time = 0.7
+    in_time = 0.9
   }
 }
 phase "after" {
   for  = "10s"
-  rate = 220
+  rate = 280
   expect {
     in_time = 0.9
   }
@@ -103,7 +103,7 @@
   over = "10s"
 }
 event "restart" {
-  at = "22s"
+  at = "17s"
   every = "3s"
   times = 3
   for = "6s"
--- a/internal/gateway/core.go
+++ b/internal/gateway/core.go
@@ -205,14 +205,27 @@
 	for _, b := range g.router.Beliefs() {
 		open := g.pool.Open(b.Node)
 		drifts = drifts || b.Out != open
-		if b.Out != open || b.Aside || b.Warm < 1 {
-			text += fmt.Sprintf("%s out %d of %d aside %t warm %.2f bad %.1f of %.1f; ", b.Node, b.Out, open, b.Aside, b.Warm,
+		if b.Out != open || b.Aside || b.Warm < 1 || b.Most < laneTold {
+			text += fmt.Sprintf("%s out %d of %d aside %t warm %.2f bad %.1f of %.1f", b.Node, b.Out, open, b.Aside, b.Warm,
 				b.Bad, b.Good+b.Bad)
+			if b.Most < laneTold {
+				text += fmt.Sprintf(" at most %.1f late %.0f of %.0f", b.Most, b.Late, b.All)
+			}
+			text += "; "
+		}
+	}
+	fills, asks := g.router.Lanes()
+	for _, l := range []router.Belief{fills, asks} {
+		if l.Most < laneTold {
+			text += fmt.Sprintf("%s out %d of at most %.1f late %.0f of %.0f; ", l.Node, l.Out, l.Most, l.Late, l.All)
 		}
 	}
 	return text, drifts
 }
 
+// laneTold is the bound from which on a lane is worth a line: it was cut, as answers came late.
+const laneTold = 1e6
+
 // Leave has the gateway say that it is not healthy any more, so that the front sends nobody else.
 func (g *Core) Leave() { g.ending = true }
 
--- a/internal/rehearsal/virtual/virtual.go
+++ b/internal/rehearsal/virtual/virtual.go
@@ -85,6 +85,7 @@
 	cursor  int
 	callers map[string]*caller
 	tidied  float64
+	log     logrus.FieldLogger
 	ended   float64 // told to end at; under 0: not
 	by      float64 // ms after which it answers all that is open
 }
@@ -234,11 +235,11 @@
 	budget := gateway.Share(c)
 	g.pool = caches.NewPool(caches.Limits{Streams: c.Streams, Idle: c.Idle, Conns: budget.Caches, Reports: c.Reports,
 		Checks: c.Probing, Answer: c.Connect, Names: footprint.Report}, g.dial(c.Connect))
-	log := logrus.FieldLogger(silent)
+	g.log = silent
 	if d.Log != nil {
-		log = d.Log(g.number)
+		g.log = d.Log(g.number)
 	}
-	g.core = gateway.NewCore(c, g.pool, log, d.unix())
+	g.core = gateway.NewCore(c, g.pool, g.log, d.unix())
 	g.cursor, g.callers, g.ended, g.by = cursor, map[string]*caller{}, -1, float64(gateway.AnswerBy(c))/float64(time.Millisecond)
 	g.alarm = d.agenda.Add(math.Inf(1), func() { g.handle(nil) })
 	g.tick = d.agenda.Add(d.now+watchEvery, g.watch)
@@ -280,9 +281,13 @@
 	if d.now >= g.tidied+tidyEvery {
 		g.tidied = d.now
 		g.pool.Tidy(d.unix())
-		if _, drifts := g.core.Drift(); drifts {
+		beliefs, drifts := g.core.Drift()
+		if drifts {
 			d.stats.Drifts++
 		}
+		if beliefs != "" {
+			g.log.WithField("at", math.Round(d.now)).WithField("nodes", beliefs).Info("beliefs")
+		}
 	}
 	g.handle(nil)
 	crashes := d.Tamper.Crash != nil && d.Tamper.Crash(g.number, d.now)
--- a/internal/rehearsal/world/box.go
+++ b/internal/rehearsal/world/box.go
@@ -86,6 +86,14 @@
 	timer  *Entry
 }
 
+// usual is the work of a download as far as anybody can know it who sends one: the mean of its type.
+func (r *request) usual() float64 {
+	if r.ask == nil || r.typ == nil {
+		return trifle
+	}
+	return r.typ.Work
+}
+
 func (w *World) newBox(id, addr, zone string, r role, cores float64, cell int, spec *script.Box) *box {
 	b := &box{w: w, id: id, addr: addr, zone: zone, role: r, spec: spec, cores: cores, cell: cell, since: -1, state: "ready",
 		slow: 1, fetching: map[key]*fetch{}, conns: map[int64]bool{}}
@@ -323,7 +331,7 @@
 func (b *box) supply(r *request, to *box, hop float64, ended *bool, end func(*made, string)) {
 	w := b.w
 	fails := func(word string) { w.after(hop, func() { end(nil, word) }) }
-	if b.asks(r.work, true); !b.up {
+	if b.asks(r.usual(), true); !b.up {
 		fails("BROKE")
 		return
 	}
@@ -389,7 +397,7 @@
 func (b *box) makes(r *request, done func(*made)) {
 	w := b.w
 	w.tell(Made{At: w.now})
-	b.asks(r.work, true)
+	b.asks(r.usual(), true)
 	if !b.up || b.vanished || b.silent {
 		if b.up {
 			return
@@ -434,7 +442,7 @@
 		if to.vanished || to.silent {
 			return
 		}
-		if to.asks(r.work, true); !to.up {
+		if to.asks(r.usual(), true); !to.up {
 			w.after(hop, func() {
 				if !over && b.up {
 					w.agenda.Remove(r.timer)
--- a/internal/rehearsal/world/world.go
+++ b/internal/rehearsal/world/world.go
@@ -265,7 +265,7 @@
 			w.tell(Pulled{At: w.now, Gateway: r.ask.gateway, ID: r.id, Object: r.key.object, Part: r.key.part, Type: e.Fields["kind"],
 				Group: r.ask.Group, Box: b.id, Zone: b.zone, Cell: b.cell, Source: r.next})
 		}
-		work := r.work
+		work := r.usual()
 		if r.next == "" {
 			work = trifle // a look
 		}
--- a/router/parts.go
+++ b/router/parts.go
@@ -249,7 +249,16 @@
 func (r *Router) Beliefs() (all []Belief) {
 	for _, n := range r.all {
 		all = append(all, Belief{Node: n.id, Out: n.asked.out, Aside: n.standing == aside, Warm: n.warmth(r),
-			Good: n.good.Sum(r.now), Bad: n.bad.Sum(r.now)})
+			Good: n.good.Sum(r.now), Bad: n.bad.Sum(r.now), Most: n.asked.most,
+			Late: n.asked.late.Sum(r.now), All: n.asked.all.Sum(r.now)})
 	}
 	return all
 }
+
+// Lanes tells how the lanes that belong to no node stand: that of all fills, and that of questions.
+func (r *Router) Lanes() (fills, asks Belief) {
+	of := func(name string, l *Lane) Belief {
+		return Belief{Node: name, Out: l.out, Most: l.most, Late: l.late.Sum(r.now), All: l.all.Sum(r.now)}
+	}
+	return of("fills", &r.fills), of("questions", &r.asks)
+}
