--- a/router/router.go
+++ b/router/router.go
@@ -557,9 +557,9 @@
 		// One of many gateways may be left less than one pull: a lot drawn for each window says whether it is its
 		// turn, so that all together spend no more than their parts on average.
 		most, window := n.budget(r), r.foot.num("fall time")
-		// A gateway that has just started doesn't know what it spent in its former life: at most its part, taken as
-		// spread over the window, of which less counts with each ms. Nothing at all for a window threw everything on
-		// the warm nodes just when this gateway stood for peers. It harms where that part was spent all at once.
+		// A gateway that has just started doesn't know what it spent in its former life: at most its part, taken
+		// as spread over the window, of which less counts with each ms. Nothing at all for a window threw all on
+		// the warm nodes just when it stood for peers. It harms where that part was spent at once.
 		if age := r.now - r.born; age < window && n.booted < r.born {
 			most *= age / window
 		}
