--- /dev/null
+++ b/internal/rehearsal/script/script_test.go
@@ -0,0 +1,56 @@
+package script
+
+import (
+	"strings"
+	"testing"
+)
+
+const good = `about = "x"
+type "a" {
+  share = 1
+  work = "10ms"
+  target = "100ms"
+  expiry = "1s"
+}
+phase "p" {
+  for = "5s"
+  rate = 10
+}
+`
+
+// What a script says wrong, or leaves out, is named by its line, and nothing that it says is passed over.
+func TestParse(t *testing.T) {
+	s, err := Parse([]byte(good+"event \"slow\" {\n at = \"1s\"\n for = \"1s\"\n factor = 3\n}\nevent \"drain\" {\n at = \"500ms\"\n}"), "f.hcl")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.Length() != 5000 || len(s.Events) != 2 || s.Events[0].Do != "drain" || s.Events[1].Factor != 3 || s.Types[0].Work != 10 {
+		t.Errorf("read as %+v", s)
+	}
+	for _, c := range [][3]string{
+		{"rate = 10", "rate = 10\n rat = 1", "f.hcl:11: Unsupported argument"},
+		{"share = 1", "share = 0.5", "come to 0.500"}, {"about = \"x\"", "", "about"},
+		{"target = \"100ms\"", "target = \"2s\"", "past the expiry"}, {"phase \"p\"", "type \"a\"", "stands twice"},
+		{"work = \"10ms\"", "work = 10", "f.hcl:4: type a.work: is number"},
+	} {
+		if _, err := Parse([]byte(strings.Replace(good, c[0], c[1], 1)), "f.hcl"); err == nil || !strings.Contains(err.Error(), c[2]) {
+			t.Errorf("%s: %v, want %q", c[1], err, c[2])
+		}
+	}
+	for _, c := range [][2]string{
+		{"event \"explode\" {\n at = \"1s\"\n}", "f.hcl:12: event explode: is none of"},
+		{"event \"slow\" {\n at = \"1s\"\n for = \"1s\"\n}", "slow needs factor"},
+		{"event \"slow\" {\n at = \"1s\"\n factor = 2\n}", "slow needs for"},
+		{"event \"kill\" {\n at = \"1s\"\n factor = 2\n}", "kill takes no factor"},
+		{"event \"kill\" {\n at = \"1s\"\n on = \"list\"\n}", "f.hcl:14: event kill.on: \"list\" is none of"},
+		{"event \"kill\" {\n at = \"9s\"\n}", "past the end"}, {"event \"kill\" {\n at = \"1s\"\n times = 3\n}", "times needs every"},
+		{"event \"purge\" {\n at = \"1s\"\n}", "needs groups or share"}, {"event \"storm\" {\n at = \"1s\"\n for = \"1s\"\n}", "storm needs kiosks"},
+		{"event \"storm\" {\n at = \"1s\"\n for = \"1s\"\n kiosks = 3\n club = \"z\"\n}", "no club \"z\""},
+		{"deployment {\n clubs = [\"a\", \"b\"]\n gateways = 1\n}", "1 gateways for 2 clubs"},
+		{"deployment {\n box {\n  cores_from = 9\n }\n}", "cores_from 9 is over cores_to 8"},
+	} {
+		if _, err := Parse([]byte(good+c[0]), "f.hcl"); err == nil || !strings.Contains(err.Error(), c[1]) {
+			t.Errorf("%q: %v, want %q", c[0], err, c[1])
+		}
+	}
+}
--- a/internal/rehearsal/sockets/stage.go
+++ b/internal/rehearsal/sockets/stage.go
@@ -73,7 +73,7 @@
 		st.Addresses = func(string) string { return "127.0.0.1:0" }
 	}
 	st.ctx, st.stop = context.WithCancelCause(context.Background())
-	st.world = world.New(s, world.Options{Epoch: float64(st.start.UnixMicro()) / 1000, Thin: 16, Facts: o.Facts})
+	st.world = world.New(s, world.Options{Epoch: float64(st.start.UnixMicro()) / 1000, Thin: 16, Facts: o.Facts, Strangers: o.Binary == ""})
 	for i := range s.Gateways {
 		p := &process{stage: st, number: i}
 		if err := p.reserve(); err != nil {
@@ -108,6 +108,7 @@
 func (s *Stage) Do(do func(w *world.World)) {
 	done := make(chan bool)
 	s.post(func() {
+		s.carry(s.world.Ring(s.now()))
 		do(s.world)
 		s.carry(s.world.Ring(s.now()))
 		close(done)
@@ -160,6 +161,7 @@
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	shown := -math.MaxFloat64
+	s.carry(s.world.Ring(s.now())) // what the world is made of
 	for s.ctx.Err() == nil {
 		now := s.now()
 		due, ok := s.world.Next()
@@ -282,6 +284,33 @@
 	}
 }
 
+// Hang breaks all connections, as a fault of the network does, and keeps the listeners.
+func (s *Stage) Hang() {
+	s.Do(func(*world.World) {
+		for id := range s.conns {
+			s.drop(id)
+		}
+		for _, p := range s.gateways {
+			p.channel.set(world.Broken)
+		}
+	})
+}
+
+// MoveChannel has the command channel of a gateway listen at another address and no more at the old one; its numbers go
+// on, and what it has connected there is told nothing more.
+func (s *Stage) MoveChannel(gateway int) (err error) {
+	s.Do(func(*world.World) {
+		p := s.gateways[gateway]
+		old := p.channel
+		if p.channel, err = newChannel(s, gateway); err == nil {
+			p.channel.events = old.events
+			old.listener.Close()
+			old.set(world.Muted)
+		}
+	})
+	return err
+}
+
 // Gateways are the addresses at which the gateways take clients.
 func (s *Stage) Gateways() (all []string) {
 	for _, p := range s.gateways {
--- a/internal/rehearsal/world/world.go
+++ b/internal/rehearsal/world/world.go
@@ -10,33 +10,34 @@
 
 // World is one deployment on its day.
 type World struct {
-	script   *script.Script
-	draws    draws
-	epoch    float64 // Unix ms of its start
-	thin     int     // bytes of a body for one that is sent on a socket; 0: the first line alone
-	now      float64
-	agenda   Agenda
-	out      []Action
-	facts    func(Fact)
-	boxes    map[string]*box
-	order    []*box
-	links    map[string]*station // into each club
-	hubOf    map[string]string   // the hub location of a club
-	kinds    map[string]*kind
-	types    []*kind
-	conns    map[int64]*conn
-	gateways []*gateway
-	asks     map[string]*asked
-	ran      map[string]int
-	list     directory
-	purged   map[string][]float64 // by object, when
-	groups   [256][]float64
-	traffic  []float64 // factors in force
-	once     float64
-	large    *large
-	ids      int
-	over     bool // no more traffic
-	open     int  // wants that have not come to their end
+	script    *script.Script
+	draws     draws
+	epoch     float64 // Unix ms of its start
+	strangers bool
+	thin      int // bytes of a body for one that is sent on a socket; 0: the first line alone
+	now       float64
+	agenda    Agenda
+	out       []Action
+	facts     func(Fact)
+	boxes     map[string]*box
+	order     []*box
+	links     map[string]*station // into each club
+	hubOf     map[string]string   // the hub location of a club
+	kinds     map[string]*kind
+	types     []*kind
+	conns     map[int64]*conn
+	gateways  []*gateway
+	asks      map[string]*asked
+	ran       map[string]int
+	list      directory
+	purged    map[string][]float64 // by object, when
+	groups    [256][]float64
+	traffic   []float64 // factors in force
+	once      float64
+	large     *large
+	ids       int
+	over      bool // no more traffic
+	open      int  // wants that have not come to their end
 }
 
 type conn struct {
@@ -50,11 +51,13 @@
 	Epoch float64    // Unix ms of the start
 	Thin  int        // bytes of the model for a byte of a body; 0: a body is one line
 	Facts func(Fact) // hears all that happens
+	// Strangers has boxes take requests that no client of this world sent, as of the first gateway.
+	Strangers bool
 }
 
 // New makes a world; what it needs to start is in the first actions, which Ring brings.
 func New(s *script.Script, o Options) *World {
-	w := &World{script: s, draws: draws(s.Seed), epoch: o.Epoch, thin: o.Thin, facts: o.Facts, boxes: map[string]*box{},
+	w := &World{script: s, draws: draws(s.Seed), epoch: o.Epoch, thin: o.Thin, strangers: o.Strangers, facts: o.Facts, boxes: map[string]*box{},
 		links: map[string]*station{}, hubOf: map[string]string{}, kinds: map[string]*kind{}, conns: map[int64]*conn{},
 		asks: map[string]*asked{}, ran: map[string]int{}, purged: map[string][]float64{}}
 	if w.facts == nil {
@@ -284,6 +287,10 @@
 		r.ask = a
 		r.work, r.bytes = w.size(r.typ, r.key)
 	}
+	if r.ask == nil && w.strangers && r.typ != nil {
+		r.ask = w.stranger(r, e.Body)
+		r.work, r.bytes = w.size(r.typ, r.key)
+	}
 	r.admit, _ = strconv.Atoi(f["admit"])
 	if limit, err := strconv.ParseFloat(f["agelim"], 64); err == nil && limit > 0 {
 		r.least = w.now - limit
--- /dev/null
+++ b/internal/rehearsal/world/world_test.go
@@ -0,0 +1,183 @@
+package world
+
+import (
+	"math"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"poppymill/internal/rehearsal/script"
+)
+
+// A station shares its capacity as a plain model does that looks at each small step of time.
+func TestStation(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		capacity, most := rapid.Float64Range(0.5, 8).Draw(t, "capacity"), rapid.Float64Range(0.5, 3).Draw(t, "most")
+		slots := rapid.IntRange(0, 5).Draw(t, "slots")
+		type one struct{ at, work, off, ends float64 }
+		jobs := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) *one {
+			return &one{at: float64(rapid.IntRange(0, 40).Draw(t, "at")), work: float64(rapid.IntRange(1, 30).Draw(t, "work")),
+				off: float64(rapid.SampledFrom([]int{0, 0, 0, 5}).Draw(t, "off")), ends: -1}
+		}), 1, 12).Draw(t, "jobs")
+		slices.SortStableFunc(jobs, func(a, b *one) int { return int(a.at - b.at) })
+
+		var agenda Agenda
+		now := 0.0
+		s := newStation(&agenda, func() float64 { return now }, capacity, most, slots)
+		got := make([]float64, len(jobs))
+		for i, j := range jobs {
+			got[i] = -1
+			agenda.Add(j.at, func() {
+				job := s.add(j.work, func() { got[i] = now })
+				if j.off > 0 {
+					agenda.Add(now+j.off, func() { s.remove(job) })
+				}
+			})
+		}
+		for at, ok := agenda.Next(); ok; at, ok = agenda.Next() {
+			now = at
+			agenda.Step()
+		}
+
+		// The model: steps of a thousandth, jobs in their order, as many as there are slots get their part.
+		left := make([]float64, len(jobs))
+		for i, j := range jobs {
+			left[i] = j.work
+		}
+		const step = 0.001
+		for at := 0.0; at < 2000; at += step {
+			var open []int
+			for i, j := range jobs {
+				if at >= j.at-step/2 && left[i] > 0 && (j.off == 0 || at < j.at+j.off) && (slots == 0 || len(open) < slots) {
+					open = append(open, i)
+				}
+			}
+			for _, i := range open {
+				if left[i] -= min(most, capacity/float64(len(open))) * step; left[i] <= 0 {
+					jobs[i].ends = at + step
+				}
+			}
+			if len(open) == 0 && at > 45 {
+				break
+			}
+		}
+		for i, j := range jobs {
+			if j.off > 0 && math.Abs(j.ends-j.at-j.off) < 0.1 {
+				continue // called off just as it ends
+			}
+			if math.Abs(got[i]-j.ends) > 0.1 {
+				t.Fatalf("job %d of %v at %v ends at %v, in the model at %v", i, j.work, j.at, got[i], j.ends)
+			}
+		}
+	})
+}
+
+// The store keeps within its room, lets go of the lowest rank first and then of what was used longest ago.
+func TestStore(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newStore(10)
+		type plain struct {
+			made
+			rank, used int
+		}
+		var all []*plain
+		for step := range rapid.IntRange(1, 60).Draw(t, "steps") {
+			k := key{"o", rapid.IntRange(0, 9).Draw(t, "key")}
+			i := slices.IndexFunc(all, func(p *plain) bool { return p.key == k })
+			if rapid.Bool().Draw(t, "get") {
+				if got := s.get(k, 0); (got != nil) != (i >= 0) {
+					t.Fatalf("step %d: %v is there: %t, in the model: %t", step, k, got != nil, i >= 0)
+				}
+				if i >= 0 {
+					all[i].used = step
+				}
+				continue
+			}
+			m := made{key: k, born: float64(step), size: float64(rapid.IntRange(1, 6).Draw(t, "size"))}
+			rank := rapid.IntRange(0, 3).Draw(t, "rank")
+			s.put(m, rank)
+			if i >= 0 {
+				all = slices.Delete(all, i, i+1)
+			}
+			slices.SortFunc(all, func(a, b *plain) int {
+				if a.rank != b.rank {
+					return a.rank - b.rank
+				}
+				return a.used - b.used
+			})
+			used, going := m.size, 0
+			for _, p := range all {
+				used += p.size
+			}
+			for ; used > 10 && going < len(all) && all[going].rank <= rank; going++ {
+				used -= all[going].size
+			}
+			if used <= 10 {
+				all = append(slices.Delete(all, 0, going), &plain{m, rank, step})
+			}
+			if s.used > s.room {
+				t.Fatalf("step %d: %v of %v", step, s.used, s.room)
+			}
+		}
+	})
+}
+
+const two = `
+about = "two clubs"
+deployment {
+  clubs = ["a", "b"]
+  gateways = 3
+  box {
+    count = 4
+    held = 0.5
+  }
+}
+type "x" {
+  share = 1
+  work = "40ms"
+  target = "300ms"
+  expiry = "1s"
+  parts = 3
+  gap = "100ms"
+  once = 0.1
+}
+phase "p" {
+  for = "3s"
+  rate = 100
+}
+`
+
+// alone runs a world whose gateways never answer, and returns what was first asked for.
+func alone(t *testing.T, gateways int) (asked []Asked) {
+	s, err := script.Parse([]byte(two), "two.hcl")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Gateways = gateways
+	w := New(s, Options{Facts: func(f Fact) {
+		if f, ok := f.(Asked); ok && f.First {
+			asked = append(asked, f)
+		}
+	}})
+	for g := range gateways {
+		w.Handle(0, Ready{Gateway: g})
+	}
+	for at, ok := w.Next(); ok && !w.Over(); at, ok = w.Next() {
+		w.Ring(at)
+	}
+	return asked
+}
+
+// What clients ask for is drawn ahead: neither how many gateways there are nor what they answer changes it.
+func TestArrivalsAreDrawnAhead(t *testing.T) {
+	a, b := alone(t, 2), alone(t, 5)
+	if len(a) < 200 || len(a) != len(b) {
+		t.Fatalf("%d and %d", len(a), len(b))
+	}
+	for i := range a {
+		if a[i].At != b[i].At || a[i].Object != b[i].Object || a[i].Part != b[i].Part || a[i].Group != b[i].Group {
+			t.Fatalf("%d: %+v and %+v", i, a[i], b[i])
+		}
+	}
+}
--- a/router/trouble_test.go
+++ b/router/trouble_test.go
@@ -321,3 +321,32 @@
 		}
 	}
 }
+
+// A gateway that starts amid a release gives cold nodes more with each moment, and in its first window never more than
+// what its former life, which may have spent its part up to the start, left of the budget when that was spread evenly.
+func TestStartAmidARelease(t *testing.T) {
+	for _, after := range []float64{50, 250, 500, 900} {
+		r, born := New(), 100_000.0
+		r.Handle(born, Started{Seed: 7, Footprint: foot()})
+		cold := fleet()
+		for i := range cold.Entries[:2] {
+			cold.Entries[i].Booted = born - 5000
+		}
+		r.Handle(born, cold)
+		asked := map[string]float64{}
+		for i := range 400 {
+			a := video(fmt.Sprint(i))
+			a.Object, a.Size, a.Expiry = fmt.Sprint("o", i), 1000, born+1e5
+			for _, p := range find[Pull](r.Handle(born+after, a)) {
+				asked[p.Node] += 100 // ms at 10,000 KB a second
+			}
+		}
+		for _, id := range []string{"e1", "e2"} {
+			n := r.nodes[id]
+			part := 0.8 * 2 * n.warmth(r) * 10 * 1000 * after / 1000
+			if asked[id] > part || after >= 250 && asked[id] < part/2 {
+				t.Errorf("%s, %.0f ms after the start: asked for %.0f ms of work, its part by then is %.0f", id, after, asked[id], part)
+			}
+		}
+	}
+}
