--- a/cmd/poppymill/rehearse.go
+++ b/cmd/poppymill/rehearse.go
@@ -21,7 +21,7 @@
 )
 
 func rehearseCommand() *cli.Command {
-	return &cli.Command{Name: "rehearse", Usage: "practise a bad morning on gateways against an emulated deployment", Commands: []*cli.Command{
+	c := &cli.Command{Name: "rehearse", Usage: "practise a bad morning on gateways against an emulated deployment", Commands: []*cli.Command{
 		{Name: "run", Usage: "play a script", ArgsUsage: "SCRIPT", Action: rehearseRun, Flags: []cli.Flag{
 			&cli.BoolFlag{Name: "virtual", Usage: "in virtual time, in this process, the same to the byte each time"},
 			&cli.IntFlag{Name: "seed", Usage: "`NUMBER` in place of the script's"},
@@ -33,6 +33,10 @@
 		{Name: "check", Usage: "read a script and say what is wrong with it", ArgsUsage: "SCRIPT", Action: rehearseCheck},
 		{Name: "list", Usage: "name the scripts of a folder", ArgsUsage: "DIR", Action: rehearseList},
 	}}
+	for _, sub := range c.Commands {
+		sub.OnUsageError = func(_ context.Context, _ *cli.Command, err error, _ bool) error { return unusable(err) }
+	}
+	return c
 }
 
 // unusable is wrong use, or input that can't be used: exit status 2.
