--- /dev/null
+++ b/internal/links/keyfile/keyfile.go
@@ -0,0 +1,217 @@
+// Package keyfile reads and writes the file of keys for signed links. It is taken whole or not at all; what others on the
+// machine can read is refused; nothing secret is ever in an error.
+package keyfile
+
+import (
+	"crypto/ecdsa"
+	"crypto/ed25519"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"encoding/base64"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"poppymill/internal/links"
+	"poppymill/internal/operator"
+)
+
+// File is what stands in it.
+type File struct {
+	Keys   []links.Key
+	Secret []byte // of addresses in tokens; nil: none
+}
+
+// Read takes a file and makes a ring of it.
+func Read(path string) (*File, *links.Ring, error) {
+	info, err := os.Stat(path)
+	if err != nil {
+		return nil, nil, err
+	}
+	if info.Mode().Perm()&0o077 != 0 {
+		return nil, nil, fmt.Errorf("%s: others than its owner may use it (%v): chmod 600", path, info.Mode().Perm())
+	}
+	text, err := operator.Read(path)
+	if err != nil {
+		return nil, nil, err
+	}
+	f, err := parse(text, path)
+	if err != nil {
+		return nil, nil, err
+	}
+	ring, err := links.NewRing(f.Keys, f.Secret)
+	if err != nil {
+		return nil, nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return f, ring, nil
+}
+
+func parse(text []byte, path string) (*File, error) {
+	f := &File{}
+	var version int
+	var secret string
+	err := operator.Parse(text, path, operator.Must("version", operator.Whole(&version, 1, 1)),
+		operator.Attr("address_secret", operator.Text(&secret)),
+		operator.Block("key", []string{"id"}, func(labels []string, _ int) ([]operator.Field, error) {
+			k := links.Key{ID: labels[0]}
+			var state, private, public, shared string
+			return []operator.Field{operator.Must("issuer", operator.Text(&k.Issuer)),
+				operator.Must("algorithm", operator.OneOf(&k.Algorithm, "ES256", "EdDSA", "HS256")),
+				operator.Must("state", operator.OneOf(&state, "upcoming", "signing", "verifying", "retired", "withdrawn")),
+				operator.Attr("private", operator.Text(&private)), operator.Attr("public", operator.Text(&public)),
+				operator.Attr("secret", operator.Text(&shared)), operator.Check(func() (err error) {
+					if k.State, err = links.ParseState(state); err == nil {
+						err = material(&k, private, public, shared)
+					}
+					f.Keys = append(f.Keys, k)
+					return err
+				})}, nil
+		}))
+	if err == nil && secret != "" {
+		if f.Secret, err = base64.StdEncoding.DecodeString(secret); err != nil {
+			err = fmt.Errorf("%s: address_secret: is no base64", path)
+		}
+	}
+	return f, err
+}
+
+// material reads a key's halves: PKCS #8 and PKIX in DER, or the bytes of a secret, in base64.
+func material(k *links.Key, private, public, shared string) error {
+	if (k.Algorithm == "HS256") != (shared != "") || shared != "" && private+public != "" {
+		return errors.New("HS256 takes secret alone, the others private or public")
+	}
+	if shared != "" {
+		raw, err := base64.StdEncoding.DecodeString(shared)
+		if err != nil {
+			return errors.New("secret: is no base64")
+		}
+		k.Private, k.Public = raw, raw
+		return nil
+	}
+	if private != "" {
+		raw, err := base64.StdEncoding.DecodeString(private)
+		if err != nil {
+			return errors.New("private: is no base64")
+		}
+		parsed, err := x509.ParsePKCS8PrivateKey(raw)
+		switch p := parsed.(type) {
+		case *ecdsa.PrivateKey:
+			k.Private, k.Public = p, &p.PublicKey
+		case ed25519.PrivateKey:
+			k.Private, k.Public = p, p.Public()
+		default:
+			return fmt.Errorf("private: is no key that is known here (%T)", err)
+		}
+	}
+	if public != "" {
+		raw, err := base64.StdEncoding.DecodeString(public)
+		if err != nil {
+			return errors.New("public: is no base64")
+		}
+		parsed, err := x509.ParsePKIXPublicKey(raw)
+		if err != nil {
+			return errors.New("public: is no key that is known here")
+		}
+		k.Public = parsed // that both belong together is the ring's to check
+	}
+	if k.Public == nil {
+		return errors.New("neither private nor public")
+	}
+	return nil
+}
+
+// New makes a key of an algorithm.
+func New(id, issuer, algorithm string, state links.State) (k links.Key, err error) {
+	k = links.Key{ID: id, Issuer: issuer, Algorithm: algorithm, State: state}
+	switch algorithm {
+	case "ES256":
+		p, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+		if err != nil {
+			return k, err
+		}
+		k.Private, k.Public = p, &p.PublicKey
+	case "EdDSA":
+		pub, p, err := ed25519.GenerateKey(rand.Reader)
+		if err != nil {
+			return k, err
+		}
+		k.Private, k.Public = p, pub
+	case "HS256":
+		secret := make([]byte, 32)
+		rand.Read(secret)
+		k.Private, k.Public = secret, secret
+	default:
+		return k, fmt.Errorf("algorithm %q is none of ES256, EdDSA, HS256", algorithm)
+	}
+	return k, nil
+}
+
+// Write puts a file in its place, whole at once and on the disk before it counts: after a crash there is the old one or
+// the new one. What is not a valid ring is not written.
+func Write(path string, f *File) error {
+	if _, err := links.NewRing(f.Keys, f.Secret); err != nil {
+		return err
+	}
+	var b strings.Builder
+	b.WriteString("# Keys of signed links. Whoever reads this can issue them.\nversion = 1\n")
+	if f.Secret != nil {
+		fmt.Fprintf(&b, "address_secret = %q\n", base64.StdEncoding.EncodeToString(f.Secret))
+	}
+	for _, k := range f.Keys {
+		fmt.Fprintf(&b, "\nkey %q {\n  issuer    = %q\n  algorithm = %q\n  state     = %q\n", k.ID, k.Issuer, k.Algorithm, k.State)
+		if err := put(&b, k); err != nil {
+			return fmt.Errorf("key %q: %w", k.ID, err)
+		}
+		b.WriteString("}\n")
+	}
+	return replace(path, []byte(b.String()))
+}
+
+func put(b *strings.Builder, k links.Key) error {
+	name, raw, err := "", []byte(nil), error(nil)
+	switch {
+	case k.Algorithm == "HS256":
+		name, raw = "secret", k.Public.([]byte)
+	case k.Private != nil:
+		name = "private"
+		raw, err = x509.MarshalPKCS8PrivateKey(k.Private)
+	default:
+		name = "public"
+		raw, err = x509.MarshalPKIXPublicKey(k.Public)
+	}
+	if err == nil {
+		fmt.Fprintf(b, "  %-9s = %q\n", name, base64.StdEncoding.EncodeToString(raw))
+	}
+	return err
+}
+
+func replace(path string, text []byte) (err error) {
+	f, err := os.CreateTemp(filepath.Dir(path), ".keys-*")
+	if err != nil {
+		return err
+	}
+	defer func() {
+		if err != nil {
+			err = errors.Join(err, os.Remove(f.Name()))
+		}
+	}()
+	if _, err = f.Write(text); err == nil {
+		err = f.Sync()
+	}
+	if err = errors.Join(err, f.Close()); err != nil {
+		return err
+	}
+	if err = os.Rename(f.Name(), path); err != nil {
+		return err
+	}
+	dir, err := os.Open(filepath.Dir(path))
+	if err != nil {
+		return nil // it is in its place; the folder can't be opened to make sure of it
+	}
+	defer dir.Close()
+	dir.Sync()
+	return nil
+}
