Rehearsals with signed links: ends amid renewals, keys rotated and withdrawn, forgeries

Change: the world issues links, takes up successors, sends renewals twice, forges, rotates; the gateways of a rehearsal check them, in virtual time and on sockets; the auditor has a rule for links. Dates of tokens keep ms. Found: two gateways that don't talk both spent one renewal link (48 times in 26 s) until its aud named the one that may; renewals issued in the second of a gateway's start were refused, as dates were whole seconds.

--- a/cmd/poppymill/link.go
+++ b/cmd/poppymill/link.go
@@ -61,7 +61,7 @@
 	if cmd.Bool("write") {
 		part = max(part, 0)
 	}
-	now := float64(time.Now().Unix())
+	now := float64(time.Now().UnixMilli()) / 1000
 	ends := now + cmd.Duration("for").Seconds()
 	var token string
 	if cmd.String("form") == "compact" {
--- a/internal/links/claims.go
+++ b/internal/links/claims.go
@@ -217,6 +217,10 @@
 	return c, names, err
 }
 
+// milli keeps a NumericDate to the ms; RFC 7519, section 2, allows fractions, and what is issued in the second of a
+// gateway's start must be told from what came before it.
+func milli(s float64) float64 { return math.Round(1000*s) / 1000 }
+
 // encode writes claims as JSON, in one order and without what is absent.
 func (c Claims) encode() []byte {
 	m := map[string]any{}
@@ -228,9 +232,9 @@
 	put("iss", c.Issuer, c.Issuer != "")
 	put("sub", c.Subject, c.Subject != "")
 	put("aud", c.Audience, len(c.Audience) > 0)
-	put("exp", math.Round(c.Expires), c.Expires > 0)
-	put("nbf", math.Round(c.NotBefore), c.NotBefore > 0)
-	put("iat", math.Round(c.Issued), c.Issued > 0)
+	put("exp", milli(c.Expires), c.Expires > 0)
+	put("nbf", milli(c.NotBefore), c.NotBefore > 0)
+	put("iat", milli(c.Issued), c.Issued > 0)
 	put("jti", c.ID, c.ID != "")
 	put("cdniv", c.Version, c.Version > 0)
 	put("cdnicrit", c.Critical, c.Critical != "")
--- a/internal/rehearsal/auditor/auditor.go
+++ b/internal/rehearsal/auditor/auditor.go
@@ -21,11 +21,12 @@
 	Drains                // nothing new past the grace after word of a drain or a loss
 	Cold                  // no cold box pushed over by all gateways together
 	Purges                // no answer from an older copy past the grace after word of a purge
+	Links                 // what is not under a good link is not let in, and no link is used twice for what must not run twice
 	Alive                 // no gateway ends that nobody told to
 	Rules
 )
 
-var names = [Rules]string{"one answer", "no effect twice", "drains and losses", "cold boxes", "purges", "gateways stay up"}
+var names = [Rules]string{"one answer", "no effect twice", "drains and losses", "cold boxes", "purges", "links", "gateways stay up"}
 
 func (r Rule) String() string { return names[r] }
 
@@ -57,6 +58,7 @@
 	slack  float64 // ms that a real machine and a real network may add to a time
 	open   map[string]*download
 	past   []*download                // those that are over, the oldest first
+	chains map[string]int             // by a link of a write: how often it took effect
 	shut   map[int]map[string]float64 // by gateway and box: when it was told to leave it alone
 	purged map[int]*purges
 }
@@ -87,7 +89,7 @@
 // New makes an auditor of one rehearsal. Slack is 0 in virtual time.
 func New(s *script.Script, slack float64) *Auditor {
 	a := &Auditor{rules: s.Rules, types: map[string]script.Type{}, slack: slack, open: map[string]*download{},
-		shut: map[int]map[string]float64{}, purged: map[int]*purges{}}
+		chains: map[string]int{}, shut: map[int]map[string]float64{}, purged: map[int]*purges{}}
 	for _, t := range s.Types {
 		a.types[t.Name] = t
 	}
@@ -168,6 +170,9 @@
 			}
 		}
 	}
+	if d.Forged && f.Status == 200 {
+		a.find(Links, f.At, f.Gateway, f.ID, "", "answered though its link is forged")
+	}
 	if f.Status == 200 && !f.Still {
 		a.content(d, f)
 	}
@@ -233,6 +238,9 @@
 	if d == nil {
 		return // made by hand, or of a gateway that is no more
 	}
+	if d.Forged {
+		a.find(Links, f.At, f.Gateway, f.ID, f.Box, "let in though its link is forged")
+	}
 	if d.ended >= 0 && f.At > d.ended+a.slack && d.why != "broken" {
 		a.find(OneAnswer, f.At, f.Gateway, f.ID, f.Box, "sent %.1f ms after its end", f.At-d.ended)
 	}
@@ -277,6 +285,11 @@
 	if d == nil {
 		return
 	}
+	if d.Chain != "" {
+		if a.chains[d.Chain]++; a.chains[d.Chain] > 1 {
+			a.find(Links, f.At, d.Gateway, f.ID, "", "its link took effect %d times", a.chains[d.Chain])
+		}
+	}
 	if d.ran++; d.ran > 1 && d.Repeat == "non-retriable" {
 		a.find(NoRepeat, f.At, d.Gateway, f.ID, "", "took effect %d times", d.ran)
 	}
--- a/internal/rehearsal/script/fields.go
+++ b/internal/rehearsal/script/fields.go
@@ -95,6 +95,12 @@
 		})}
 }
 
+func (l *Links) fields() []op.Field {
+	l.Checks = 1e5
+	return []op.Field{op.Must("life", op.Span(&l.Life, time.Second, 24*time.Hour)), op.Attr("renew", op.Span(&l.Renew, time.Second, 24*time.Hour)),
+		op.Attr("doubled", op.Share(&l.Doubled)), op.Attr("checks", op.Number(&l.Checks, 1, 1e6))}
+}
+
 func (p *Phase) fields() []op.Field {
 	e := &p.Expect
 	return []op.Field{op.Must("for", op.Span(&p.For, 100*time.Millisecond, 24*time.Hour)), op.Must("rate", op.Number(&p.Rate, 0, 1e6)),
@@ -121,7 +127,7 @@
 func (e *Event) whole() error {
 	uses := map[string]string{"slow": "factor", "traffic": "factor", "large": "factor share", "fail": "share", "lose": "share", "cut": "share",
 		"once": "share", "lag": "delay", "storm": "kiosks club", "purge": "share groups", "replace": "over same_address", "drain": "over",
-		"kill": "over", "restart": "over", "stop": "over"}
+		"kill": "over", "restart": "over", "stop": "over", "forge": "factor"}
 	given := map[string]bool{"factor": e.Factor != 0, "delay": e.Delay != 0, "kiosks": e.Kiosks != 0, "club": e.Club != "",
 		"groups": e.Groups != 0, "over": e.Over != 0, "same_address": e.SameAddress, "type": e.Type != ""}
 	for _, name := range []string{"factor", "delay", "kiosks", "club", "groups", "over", "same_address", "type"} {
--- a/internal/rehearsal/script/script.go
+++ b/internal/rehearsal/script/script.go
@@ -32,6 +32,7 @@
 	Limits      Limits
 	Types       []Type
 	Clients     Clients
+	Links       Links
 	Phases      []Phase
 	Events      []Event
 }
@@ -106,6 +107,14 @@
 	Notices   float64    // ms until the front has found out that a gateway died
 }
 
+// Links is how clients hold signed links; off where Life is 0.
+type Links struct {
+	Life    float64 // ms that a link is good
+	Renew   float64 // ms that its successor lives longer
+	Doubled float64 // share of writes that are sent twice at once under one link
+	Checks  float64 // signatures a second that a gateway checks for one source
+}
+
 // Phase is a stretch of time with its traffic and what is expected of it.
 type Phase struct {
 	Name      string
@@ -149,8 +158,9 @@
 		"fail": boxes, "lose": boxes, "cut": boxes, "replace": {"edge", "hub"}, "drain": {"edge", "hub"}, "restart": {"gateway"},
 		"hup": {"gateway"}, "lag": {"list"}, "purge": {"objects"}, "break": {"channel"}, "mute": {"channel"}, "repeat": {"channel"},
 		"traffic": {"clients"}, "storm": {"clients"}, "once": {"clients"}, "large": {"clients"},
+		"forge": {"clients"}, "rotate": {"keys"}, "withdraw": {"keys"},
 	}
-	needFor = []string{"pause", "slow", "fail", "lose", "cut", "lag", "mute", "traffic", "storm", "once", "large", "silent", "vanish"}
+	needFor = []string{"pause", "slow", "fail", "lose", "cut", "lag", "mute", "traffic", "storm", "once", "large", "silent", "vanish", "forge"}
 )
 
 // Deeds lists what can happen, for people.
@@ -184,7 +194,7 @@
 	sharing := 0.0
 	err := operator.Parse(text, file,
 		operator.Must("about", operator.Text(&s.About)), operator.Attr("seed", operator.Whole(&s.Seed, 0, 1<<30)),
-		operator.One("deployment", s.deployment), operator.One("clients", s.Clients.fields),
+		operator.One("deployment", s.deployment), operator.One("clients", s.Clients.fields), operator.One("links", s.Links.fields),
 		operator.Block("type", []string{"name"}, func(labels []string, _ int) ([]operator.Field, error) {
 			if slices.ContainsFunc(s.Types, func(t Type) bool { return t.Name == labels[0] }) {
 				return nil, errors.New("stands twice")
@@ -234,6 +244,9 @@
 		if e.At >= s.Length() {
 			return fmt.Errorf("event %s of line %d comes at %v ms, past the end at %v ms", e.Do, e.Line, e.At, s.Length())
 		}
+		if s.Links.Life == 0 && slices.Contains([]string{"forge", "rotate", "withdraw"}, e.Do) {
+			return fmt.Errorf("event %s of line %d needs the block links", e.Do, e.Line)
+		}
 		if e.Club != "" && !slices.Contains(s.Clubs, e.Club) {
 			return fmt.Errorf("event %s of line %d: no club %q", e.Do, e.Line, e.Club)
 		}
--- a/internal/rehearsal/sockets/gateway.go
+++ b/internal/rehearsal/sockets/gateway.go
@@ -74,6 +74,9 @@
 	p.starts++
 	cmd := exec.Command(s.Binary, "serve", "--config", p.file())
 	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "TMPDIR=" + s.dir}
+	if s.script.Links.Life > 0 {
+		cmd.Env = append(cmd.Env, "POPPYMILL_FILE="+s.operator(p.number))
+	}
 	if s.Logs != "" {
 		log, err := os.Create(filepath.Join(s.Logs, fmt.Sprintf("gateway-%d-start-%d.log", p.number, p.starts)))
 		if err != nil {
--- a/internal/rehearsal/sockets/stage.go
+++ b/internal/rehearsal/sockets/stage.go
@@ -13,6 +13,7 @@
 	"net"
 	"os"
 	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -20,6 +21,8 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"poppymill/internal/clients"
+	"poppymill/internal/links"
+	"poppymill/internal/links/keyfile"
 	"poppymill/internal/rehearsal/script"
 	"poppymill/internal/rehearsal/world"
 )
@@ -74,6 +77,11 @@
 	}
 	st.ctx, st.stop = context.WithCancelCause(context.Background())
 	st.world = world.New(s, world.Options{Epoch: float64(st.start.UnixMicro()) / 1000, Thin: 16, Facts: o.Facts, Strangers: o.Binary == ""})
+	if s.Links.Life > 0 {
+		if err := st.keys(st.world.LinkKeys()); err != nil {
+			return nil, errors.Join(err, os.RemoveAll(dir))
+		}
+	}
 	for i := range s.Gateways {
 		p := &process{stage: st, number: i}
 		if err := p.reserve(); err != nil {
@@ -238,6 +246,10 @@
 			}
 		case world.Kill:
 			s.gateways[a.Gateway].kill()
+		case world.Keys:
+			if err := s.keys(a.Keys); err != nil {
+				s.stop(err)
+			}
 		case world.Term:
 			s.gateways[a.Gateway].signal(syscall.SIGTERM)
 		case world.Hup:
@@ -276,6 +288,24 @@
 	return cursor, events
 }
 
+// keys puts the file of keys in its place for all gateways, with an operator's file for each.
+func (s *Stage) keys(keys []links.Key) error {
+	l := s.world.LinkSettings()
+	for i := range s.script.Gateways {
+		name, _, _ := s.world.Config(i)
+		text := fmt.Sprintf("links {\n  keys = %q\n  base = %q\n  audience = [%q, %q]\n  checks = %v\n  all_checks = %v\n  renew_within = \"%.0fms\"\n}\n",
+			s.dir+"/keys.hcl", l.Base, l.Audience[0], name, l.Checks, l.AllChecks, l.RenewIn)
+		if err := os.WriteFile(s.operator(i), []byte(text), 0o600); err != nil {
+			return err
+		}
+	}
+	return keyfile.Write(s.dir+"/keys.hcl", &keyfile.File{Keys: keys})
+}
+
+func (s *Stage) operator(gateway int) string {
+	return fmt.Sprintf("%s/operator-%d.hcl", s.dir, gateway)
+}
+
 // drop ends a connection as a process that dies does.
 func (s *Stage) drop(id int64) {
 	if c := s.conns[id]; c != nil {
@@ -332,6 +362,9 @@
 func response(gateway int, id string, r clients.Response) world.Answer {
 	a := world.Answer{Gateway: gateway, ID: id, Status: r.Status, Still: r.Fields["X-Still"] == "1"}
 	fmt.Sscan(r.Fields["X-Wait-Ms"], &a.Wait)
+	if _, token, ok := strings.Cut(r.Fields["Set-Cookie"], "="); ok {
+		a.Token, _, _ = strings.Cut(token, ";")
+	}
 	head := r.Body[:min(len(r.Body), 120)]
 	if i := slices.Index(head, '\n'); i >= 0 {
 		head = head[:i]
--- a/internal/rehearsal/virtual/virtual.go
+++ b/internal/rehearsal/virtual/virtual.go
@@ -20,6 +20,8 @@
 	"poppymill/internal/clients"
 	"poppymill/internal/footprint"
 	"poppymill/internal/gateway"
+	"poppymill/internal/links"
+	"poppymill/internal/links/drive"
 	"poppymill/internal/rehearsal/resp"
 	"poppymill/internal/rehearsal/script"
 	"poppymill/internal/rehearsal/world"
@@ -85,6 +87,7 @@
 	cursor  int
 	callers map[string]*caller
 	tidied  float64
+	block   drive.Block
 	log     logrus.FieldLogger
 	ended   float64 // told to end at; under 0: not
 	by      float64 // ms after which it answers all that is open
@@ -172,6 +175,10 @@
 			}
 		case world.Kill:
 			d.all[a.Gateway].close()
+		case world.Keys:
+			for _, g := range d.all {
+				d.rekey(g, a)
+			}
 		case world.Term:
 			if g := d.all[a.Gateway]; g.core != nil {
 				g.core.Leave()
@@ -240,6 +247,15 @@
 		g.log = d.Log(g.number)
 	}
 	g.core = gateway.NewCore(c, g.pool, g.log, d.unix())
+	if s := d.world.LinkSettings(); s.Base != "" {
+		s.Audience = append(s.Audience, c.Name)
+		g.block = drive.Block{On: true, From: "query", Name: "URISigningPackage", Settings: s}
+		ring, err := links.NewRing(d.world.LinkKeys(), nil)
+		if err != nil {
+			return err
+		}
+		g.core.Guard(links.New(s, ring, []byte(c.Name), d.unix()), g.block, nil, nil, d.unix)
+	}
 	g.cursor, g.callers, g.ended, g.by = cursor, map[string]*caller{}, -1, float64(gateway.AnswerBy(c))/float64(time.Millisecond)
 	g.alarm = d.agenda.Add(math.Inf(1), func() { g.handle(nil) })
 	g.tick = d.agenda.Add(d.now+watchEvery, g.watch)
@@ -255,6 +271,16 @@
 	return l
 }()
 
+// rekey has a gateway take up other keys some time later, as its watch on the file does.
+func (d *driver) rekey(g *gate, a world.Keys) {
+	core := g.core
+	d.agenda.Add(d.now+d.world.LinkTakes(g.number), func() {
+		if ring, err := links.NewRing(a.Keys, nil); err == nil && g.core == core && core != nil {
+			g.handle(gateway.Rekeyed{Ring: ring, Block: g.block})
+		}
+	})
+}
+
 // handle hands an event to the core, or lets it do what is due.
 func (g *gate) handle(e any) {
 	if g.core == nil {
@@ -345,6 +371,9 @@
 		return
 	}
 	got := world.Answer{Gateway: c.g.number, ID: c.id, Status: a.Status, Wait: a.Wait, Still: a.Still, Copy: Head(a.Body.Parts())}
+	if a.Link != nil {
+		got.Token = a.Link.Token
+	}
 	a.Body.Release()
 	answers := []world.Answer{got}
 	if d.Tamper.Answers != nil {
--- a/internal/rehearsal/world/clients.go
+++ b/internal/rehearsal/world/clients.go
@@ -46,6 +46,8 @@
 	at, until float64
 	kiosk     bool
 	stop      float64 // of a kiosk
+	holds     *holding
+	twin      bool // a second request under the link of another
 	last      Verdict
 }
 
@@ -130,6 +132,7 @@
 	c := w.draws.chance("visit", typ, n)
 	club := w.script.Clubs[int(c.Below()*float64(len(w.script.Clubs)))]
 	object := w.pick(t, typ, n, club, &c)
+	var first *want
 	for part := range t.Parts {
 		when := at + float64(part)*t.Gap*between(&c, 0.9, 1.1)
 		if when < 0 || when >= w.script.Length() {
@@ -137,7 +140,16 @@
 		}
 		w.at(when, func() {
 			if !w.over {
-				w.ask(&want{n: n*1000 + part, typ: t, object: object, part: part, club: club, at: w.now, until: w.now + t.Expiry})
+				x := &want{n: n*1000 + part, typ: t, object: object, part: part, club: club, at: w.now, until: w.now + t.Expiry}
+				if first == nil {
+					first = x
+				}
+				x.holds = first.holds
+				w.ask(x)
+				first.holds = x.holds
+				if t.Write && w.draws.below("doubled", typ, n) < w.script.Links.Doubled {
+					w.ask(&want{n: n*1000 + 999, typ: t, object: object, part: part, club: club, at: w.now, until: x.until, holds: x.holds, twin: true})
+				}
 			}
 		})
 	}
@@ -179,6 +191,13 @@
 // choose finds the gateway that a client is sent to: one of its club, else any; the front goes on sending to one that
 // died until it has found out.
 func (w *World) choose(x *want) *gateway {
+	if x.holds != nil && x.typ.Write && !x.twin {
+		// A write's link names the one gateway that may spend it.
+		if g := w.gateways[x.holds.gateway]; g.ready && !g.ending {
+			return g
+		}
+		x.holds = nil
+	}
 	var own, all []*gateway
 	for _, g := range w.gateways {
 		if g.ready && !g.ending || w.now < g.until {
@@ -223,18 +242,12 @@
 	} else if c.Below() < cl.Holds {
 		a.Mine = w.tag(key{x.object, x.part}, a.Group, w.now)
 	}
+	w.link(x, &a.Request, g)
 	if !g.up { // the front still sends to it, and is refused
 		w.again(x, Lost, cl.Wait, true)
 		return
 	}
-	w.asks[a.ID] = a
-	if g.open == nil {
-		g.open = map[string]*asked{}
-	}
-	g.open[a.ID] = a
-	w.tell(Asked{At: w.now, Expiry: w.now + allow, Gateway: g.number, Repeat: t.Repeat, First: first, Request: a.Request})
-	w.act(Ask{Gateway: g.number, Request: a.Request})
-	a.expiry = w.after(allow+slack, func() { w.unanswered(a, "expired") })
+	w.send(a, g, first)
 	if !x.kiosk && c.Below() < cl.Impatient {
 		a.leaves = w.after(allow*c.Below(), func() {
 			w.close(a)
@@ -245,6 +258,18 @@
 	}
 }
 
+// send puts a request on its way.
+func (w *World) send(a *asked, g *gateway, first bool) {
+	w.asks[a.ID] = a
+	if g.open == nil {
+		g.open = map[string]*asked{}
+	}
+	g.open[a.ID] = a
+	w.tell(Asked{At: w.now, Expiry: w.now + a.Allow, Gateway: g.number, Repeat: a.want.typ.Repeat, First: first, Request: a.Request})
+	w.act(Ask{Gateway: g.number, Request: a.Request})
+	a.expiry = w.after(a.Allow+slack, func() { w.unanswered(a, "expired") })
+}
+
 func (w *World) close(a *asked) {
 	w.agenda.Remove(a.expiry)
 	w.agenda.Remove(a.leaves)
@@ -272,7 +297,15 @@
 	}
 	w.close(a)
 	x := a.want
+	x.successor(e.Token, w.script.Links.Renew)
+	if e.Status == 403 && !x.twin {
+		x.holds = nil // it has itself given a new one
+	}
 	switch {
+	case x.twin:
+		w.open--
+	case e.Status == 403 && w.script.Links.Life > 0 && !x.typ.Write:
+		w.again(x, Abandoned, 1, true)
 	case e.Status == 200:
 		work, _ := w.size(x.typ, key{x.object, x.part})
 		verdict := InTime
@@ -293,7 +326,10 @@
 
 // again tries once more, where the client does and it does no harm.
 func (w *World) again(x *want, last Verdict, wait float64, harmless bool) {
-	x.last = last
+	if x.last = last; x.twin {
+		w.open--
+		return
+	}
 	wait *= 0.8 + 0.4*w.draws.below("wait", x.typ.Name, x.n, x.tries)
 	if x.tries > w.script.Clients.Retries || !harmless && x.typ.Repeat != "retriable" || w.now+wait >= x.until {
 		w.ended(x, last)
@@ -303,7 +339,10 @@
 }
 
 func (w *World) ended(x *want, v Verdict) {
-	if w.open--; x.kiosk {
+	if w.open--; x.twin {
+		return
+	}
+	if x.kiosk {
 		// A kiosk in a loop asks again whatever it was told.
 		if w.now+20 < x.stop && !w.over {
 			next := &want{n: x.n + 1, typ: x.typ, object: x.object, part: x.part, club: x.club, at: w.now + 20, kiosk: true, stop: x.stop}
--- a/internal/rehearsal/world/config.go
+++ b/internal/rehearsal/world/config.go
@@ -64,6 +64,12 @@
 func Params(r Request) map[string]string {
 	p := map[string]string{"SCRIPT_NAME": "/invoke/" + r.Type, "HTTP_X_JOB_ID": r.ID, "HTTP_X_ALLOW_MS": strconv.Itoa(int(r.Allow)),
 		"HTTP_X_ITEM": r.Object, "HTTP_X_N": strconv.Itoa(r.Part), "HTTP_X_SHARD": strconv.Itoa(r.Group)}
+	if r.Token != "" {
+		p["QUERY_STRING"] = "URISigningPackage=" + r.Token
+	}
+	if r.Source != "" {
+		p["REMOTE_ADDR"] = r.Source
+	}
 	if r.Mine != "" {
 		p["HTTP_X_MINE"] = r.Mine
 	}
--- a/internal/rehearsal/world/door.go
+++ b/internal/rehearsal/world/door.go
@@ -6,6 +6,8 @@
 // one core at speed 1. Gateways are known by number, boxes by id, connections by a number of the driver's.
 package world
 
+import "poppymill/internal/links"
+
 // Events, which a driver hands to World.Handle.
 type (
 	// Dialled is a connection that a gateway opens to an address.
@@ -30,6 +32,7 @@
 		Wait    float64 // ms; 0: none was told
 		Still   bool
 		Copy    string // the head of the body: which copy it is
+		Token   string // the successor of the client's link
 	}
 	// Unanswered is a request whose connection was refused or ended before an answer.
 	Unanswered struct {
@@ -89,6 +92,8 @@
 		Gateway int
 		ID      string
 	}
+	// Keys has all gateways take up other keys for signed links.
+	Keys struct{ Keys []links.Key }
 	// Start, Kill, Term and Hup act on a gateway's process: started anew from nothing, killed outright, told to end,
 	// told to read its configuration again.
 	Start struct{ Gateway int }
@@ -115,6 +120,10 @@
 	Allow            float64 // ms that the client waits
 	Mine             string  // tag of a copy that it holds
 	Body             int     // bytes that it sends
+	Token            string  // signed link; empty: none
+	Chain            string  // of a write's link: what must run once
+	Source           string  // address that the front tells
+	Forged           bool    // it must not be let in
 }
 
 // Fact is one of the types below. The world tells facts to whoever judges or counts; it never takes a gateway's word.
--- a/internal/rehearsal/world/happen.go
+++ b/internal/rehearsal/world/happen.go
@@ -5,6 +5,7 @@
 	"math"
 	"slices"
 
+	"poppymill/internal/links"
 	"poppymill/internal/rehearsal/script"
 	"poppymill/router"
 )
@@ -222,6 +223,12 @@
 				w.large = nil
 			}
 		})
+	case "forge":
+		w.forge(e, 0, w.now+e.For)
+	case "rotate":
+		w.rotate(links.Verifying)
+	case "withdraw":
+		w.rotate(links.Withdrawn)
 	case "storm":
 		club := cmp.Or(e.Club, w.script.Clubs[0])
 		for n := range e.Kiosks {
--- /dev/null
+++ b/internal/rehearsal/world/link.go
@@ -0,0 +1,166 @@
+package world
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+
+	"poppymill/internal/links"
+	"poppymill/internal/rehearsal/script"
+)
+
+// LinkBase is what all links of a rehearsal begin with.
+const LinkBase = "https://rehearsal.invalid"
+
+// issuer is the club's desk that gives members their links, and changes its keys.
+type issuer struct {
+	keys []links.Key
+	ring *links.Ring
+	made int
+}
+
+// The gateways don't talk, so a write's link names the one that may spend it: aud is "club" or a gateway's own name.
+
+// LinkSettings are what the gateways of a rehearsal go by; the zero value where it has no links.
+func (w *World) LinkSettings() links.Settings {
+	l := w.script.Links
+	if l.Life == 0 {
+		return links.Settings{}
+	}
+	s := links.Defaults()
+	s.Audience = []string{"club"}
+	s.Base, s.Checks, s.AllChecks, s.RenewIn = LinkBase, l.Checks, 20*l.Checks, l.Life/2
+	return s
+}
+
+// LinkKeys are the keys that are in force.
+func (w *World) LinkKeys() []links.Key { return w.issuer.keys }
+
+func (w *World) newKey(s links.State) links.Key {
+	w.issuer.made++
+	secret := []byte(w.draws.id("key", w.issuer.made) + w.draws.id("more of it", w.issuer.made))
+	return links.Key{ID: kindID("key", w.issuer.made), Issuer: "club", Algorithm: "HS256", State: s, Private: secret, Public: secret}
+}
+
+func (w *World) rekey(keys ...links.Key) {
+	w.issuer.keys = keys
+	ring, err := links.NewRing(keys, nil)
+	if err != nil {
+		panic(err) // the world's own
+	}
+	w.issuer.ring = ring
+}
+
+// rotate has the upcoming key sign; a withdrawn one stays in the file as such.
+func (w *World) rotate(old links.State) {
+	next := slices.Clone(w.issuer.keys)
+	for i := range next {
+		switch next[i].State {
+		case links.Signing:
+			next[i].State = old
+		case links.Upcoming:
+			next[i].State = links.Signing
+		}
+	}
+	next = append(next, w.newKey(links.Upcoming))
+	if len(next) > 6 {
+		next = next[1:]
+	}
+	// The gateways take the file up before the desk signs with the new key, as the operators' page has it; a leak can't wait.
+	w.act(Keys{Keys: next})
+	if old == links.Withdrawn {
+		w.rekey(next...)
+	} else {
+		w.after(1000, func() { w.rekey(next...) })
+	}
+}
+
+// link gives a want its link: the one that it holds as long as that is good, else a new one.
+func (w *World) link(x *want, r *Request, g *gateway) {
+	l := w.script.Links
+	if l.Life == 0 {
+		return
+	}
+	if x.holds == nil || w.now >= x.holds.until {
+		c := links.Claims{Issuer: "club", Subject: "member", Issued: (w.epoch + w.now) / 1000, ID: w.draws.id("jti", x.typ.Name, x.n, x.tries),
+			Audience: []string{"club"}, URI: "regex:" + LinkBase + "/" + x.typ.Name + "/" + x.object + "/[0-9]+"}
+		c.Expires = c.Issued + l.Life/1000
+		if l.Renew > 0 {
+			c.Renew, c.Transport = l.Renew/1000, 1
+		}
+		if x.typ.Write {
+			name, _, _ := w.Config(g.number)
+			c.Audience = []string{name}
+			c.Write, c.Critical, c.URI = true, links.CriticalWrite, links.Hash(links.URI(LinkBase, x.typ.Name, x.object, int64(x.part)))
+		}
+		token, err := w.issuer.ring.Sign(c)
+		if err != nil {
+			panic(err)
+		}
+		x.holds = &holding{gateway: g.number, token: token, chain: c.ID, until: 1000*c.Expires - w.epoch - 100}
+	}
+	r.Token, r.Chain, r.Source = x.holds.token, x.holds.chain, "10.0.0."+string(rune('0'+x.n%10))
+}
+
+// holding is a link as a client holds it, for all parts of what it watches.
+type holding struct {
+	token, chain string
+	gateway      int // that may spend it, where it is a write's
+	until        float64
+}
+
+// successor takes up what came with an answer.
+func (x *want) successor(token string, by float64) {
+	if token != "" && x.holds != nil {
+		x.holds.token, x.holds.until = token, x.holds.until+by
+	}
+}
+
+// forge sends requests whose links are not good, so many times as often as honest ones come.
+func (w *World) forge(e *script.Event, n int, end float64) {
+	c := w.draws.chance("forge", e.Line, n)
+	w.after(pause(&c, e.Factor*w.rate(w.now)/1000), func() {
+		if w.now >= end || w.over {
+			return
+		}
+		w.forged(n, &c)
+		w.forge(e, n+1, end)
+	})
+}
+
+func (w *World) forged(n int, c *chance) {
+	t := w.types[int(c.Below()*float64(len(w.types)))]
+	x := &want{n: -n - 1, typ: t, object: w.draws.id("object", 0, n%50), club: w.script.Clubs[n%len(w.script.Clubs)], at: w.now, tries: 1, twin: true}
+	g := w.choose(x)
+	if g == nil || !g.up {
+		return
+	}
+	r := Request{ID: w.draws.id("forged", n), Type: t.Name, Object: x.object, Group: t.group(w, x.object), Allow: t.Expiry, Forged: true}
+	w.link(x, &r, g)
+	parts := strings.Split(r.Token, ".")
+	switch n % 4 {
+	case 0: // a signature that does not fit
+		parts[2] = strings.Repeat("A", len(parts[2]))
+	case 1: // for another object
+		r.Object = w.draws.id("object", 0, n%50+1)
+	case 2:
+		parts[0] = "eyJhbGciOiJub25lIiwia2lkIjoia2V5LTEifQ" // {"alg":"none","kid":"key-1"}
+	case 3:
+		r.Token, parts = "", nil
+	}
+	if parts != nil {
+		r.Token = strings.Join(parts, ".")
+	}
+	r.Group, r.Source = t.group(w, r.Object), "192.0.2."+string(rune('0'+n%10))
+	if t.Write {
+		r.Body = 100
+	}
+	w.open++
+	w.send(&asked{want: x, gateway: g.number, at: w.now, Request: r}, g, false)
+}
+
+// LinkTakes is how long, in ms, a gateway takes until it has read other keys.
+func (w *World) LinkTakes(gateway int) float64 {
+	c := w.draws.chance("keys", gateway, w.issuer.made)
+	return cmp.Or(c.Below()*500, 1)
+}
--- a/internal/rehearsal/world/world.go
+++ b/internal/rehearsal/world/world.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strconv"
 
+	"poppymill/internal/links"
 	"poppymill/internal/rehearsal/script"
 )
 
@@ -36,6 +37,7 @@
 	once      float64
 	large     *large
 	ids       int
+	issuer    issuer
 	over      bool // no more traffic
 	open      int  // wants that have not come to their end
 }
@@ -84,6 +86,9 @@
 	for _, g := range w.gateways {
 		w.start(g)
 	}
+	if s.Links.Life > 0 {
+		w.rekey(w.newKey(links.Signing), w.newKey(links.Upcoming))
+	}
 	w.clients()
 	for _, e := range s.Events {
 		for i := range e.Times {
