--- a/deploy/poppymill.hcl
+++ b/deploy/poppymill.hcl
@@ -8,3 +8,24 @@
   format         = "text" # or json, one document a line
   counters_every = "10s"  # from 1s to 1h
 }
+
+# Signed links and tokens. Off unless this block stands here: docs/operate/links.md.
+#
+# links {
+#   keys         = "/etc/poppymill/keys.hcl"  # `poppymill link keys new`; taken up whenever it changes
+#   base         = "https://media.example"    # a part's URI is BASE/TYPE/OBJECT/PART
+#   form         = "uri-signing"              # RFC 9246, or compact: Expires, KeyName, Signature
+#   from         = "query"                    # query, header or cookie
+#   name         = "URISigningPackage"        # of the parameter, header or cookie
+#   audience     = ["amber", "gateway-a"]     # names by which aud may mean this gateway
+#   skew         = "2s"                       # that clocks may differ
+#   longest      = "24h"                      # that a link may live from now on
+#   chain        = "6h"                       # from iat, past which no successor lives
+#   renew_within = "30s"                      # of its end, a link gets its successor with the answer
+#   reuse        = 0                          # downloads that one link admits where nothing is written; 0: any number
+#   memory       = "4MiB"                     # for what is spent, and as much for what was found good
+#   checks       = 50                         # signatures a second for one source
+#   all_checks   = 2000                       # for all sources that have not shown a good one lately
+#   spenders     = ["gateway-a", "gateway-b"] # that share what must run once: a hash of the link names one of them
+#   store        = "/var/lib/poppymill/spent" # what is spent survives a restart
+# }
--- a/internal/rehearsal/virtual/virtual.go
+++ b/internal/rehearsal/virtual/virtual.go
@@ -44,6 +44,7 @@
 	News     func(channel.News) bool                    // false: they never hear of it
 	Answers  func(world.Answer) []world.Answer          // what their clients get in place of one answer
 	Reply    func(world.Reply) world.Reply              // what they read of a box's answer
+	Links    func(*links.Settings) bool                 // how they check links; false: not at all
 	Settings func(settings map[string]any)              // what they are told of their deployment
 	Crash    func(gateway int, now float64) (ends bool) // asked at every watch
 }
@@ -254,7 +255,9 @@
 		if err != nil {
 			return err
 		}
-		g.core.Guard(links.New(s, ring, []byte(c.Name), d.unix()), g.block, nil, nil, d.unix)
+		if d.Tamper.Links == nil || d.Tamper.Links(&s) {
+			g.core.Guard(links.New(s, ring, []byte(c.Name), d.unix()), g.block, nil, nil, d.unix)
+		}
 	}
 	g.cursor, g.callers, g.ended, g.by = cursor, map[string]*caller{}, -1, float64(gateway.AnswerBy(c))/float64(time.Millisecond)
 	g.alarm = d.agenda.Add(math.Inf(1), func() { g.handle(nil) })
--- a/internal/rehearsal/virtual/virtual_test.go
+++ b/internal/rehearsal/virtual/virtual_test.go
@@ -10,6 +10,7 @@
 
 	"poppymill/internal/assert"
 	"poppymill/internal/channel"
+	"poppymill/internal/links"
 	"poppymill/internal/rehearsal/auditor"
 	"poppymill/internal/rehearsal/report"
 	"poppymill/internal/rehearsal/script"
@@ -104,6 +105,15 @@
   repeat = "non-retriable"
   write = true
 }
+links {
+  life = "4s"
+  doubled = 0.5
+}
+event "forge" {
+  at = "1s"
+  for = "4s"
+  factor = 0.2
+}
 phase "all" {
   for = "8s"
   rate = 150
@@ -176,6 +186,11 @@
 			extra := s["extra"].(map[string]any)
 			extra["parent_cold_from"], extra["upper_cold"] = 1.0, 0.0
 		}}},
+		{"lets all links in", auditor.Links, Tamper{Links: func(*links.Settings) bool { return false }}},
+		{"spends what is another's to spend", auditor.Links, Tamper{Links: func(s *links.Settings) bool {
+			s.Audience = append(s.Audience, "gateway-a-a", "gateway-b-b", "gateway-c-a")
+			return true
+		}}},
 		{"ends by itself", auditor.Alive, Tamper{Crash: func(g int, now float64) bool { return g == 1 && now > 3000 && now < 3200 }}},
 	} {
 		n = 0
