Links of the gateway's own on pulls for boxes that ask for them, checked in rehearsals

Need: a box may want proof that a pull is a gateway's. Change: with boxes = SPAN each pull carries a link for that box, part and short time, by the key that signs; the emulator's boxes check it and the auditor names what comes without.

--- a/deploy/poppymill.hcl
+++ b/deploy/poppymill.hcl
@@ -27,5 +27,6 @@
 #   checks       = 50                         # signatures a second for one source
 #   all_checks   = 2000                       # for all sources that have not shown a good one lately
 #   spenders     = ["gateway-a", "gateway-b"] # that share what must run once: a hash of the link names one of them
+#   boxes        = "5s"                       # that a link for a box lives, which goes with each pull; none without it
 #   store        = "/var/lib/poppymill/spent" # what is spent survives a restart
 # }
--- a/deploy/rehearsals/links-rotation.hcl
+++ b/deploy/rehearsals/links-rotation.hcl
@@ -72,6 +72,7 @@
   life    = "6s"
   renew   = "6s"
   doubled = 0.1
+  boxes   = "5s"
 }
 
 phase "before" {
--- a/internal/gateway/core.go
+++ b/internal/gateway/core.go
@@ -514,7 +514,11 @@
 		return
 	}
 	g.Pulls++
-	p.wire = &caches.Pull{ID: d.id, Node: a.Node, Fields: fields(d, a, until-g.now), Body: d.body,
+	text := fields(d, a, until-g.now)
+	if g.desk != nil {
+		text = g.desk.forBox(text, d, p, g.now)
+	}
+	p.wire = &caches.Pull{ID: d.id, Node: a.Node, Fields: text, Body: d.body,
 		Mine: d.mine, Copies: d.copies, MaxAge: cmp.Or(a.MaxAge, d.fresh), Before: d.last, Owner: p}
 	d.last = p.wire
 	p.timer = g.timers.push(timer{at: until, pull: p})
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -149,3 +149,13 @@
 	return strings.Join(append(all, fmt.Sprintf("signatures %d", c.Checked), fmt.Sprintf("remembered %d", c.Remembered),
 		fmt.Sprintf("successors %d", c.Lived)), ", ")
 }
+
+// forBox adds a link of this gateway's own to what a pull says, where boxes ask for one.
+func (k *desk) forBox(text string, d *download, p *pull, now float64) string {
+	token := k.door.ForBox(links.Sent{At: now, ID: d.id, Pull: p.n, Node: p.node, Source: p.source, Type: d.typ, Object: d.object,
+		Part: d.part, Write: !d.copies})
+	if token == "" {
+		return text
+	}
+	return text + ",link=" + token
+}
--- a/internal/links/admit.go
+++ b/internal/links/admit.go
@@ -410,6 +410,39 @@
 	v.Path = cookiePath(d.settings.Base, k.claims.Depth)
 }
 
+// Sent is a pull on its way to a box.
+type Sent struct {
+	At           float64
+	ID           string // of the download
+	Pull         int
+	Node, Source string
+	Type, Object string
+	Part         int64
+	Write        bool
+}
+
+// ForBox issues a link for one pull: good for that box and its source, that part, and a short time. Empty where boxes ask
+// for none, or no key signs.
+func (d *Door) ForBox(s Sent) string {
+	if d.settings.Boxes == 0 || d.ring.signing == nil {
+		return ""
+	}
+	now := (s.At + d.shift) / 1000
+	c := Claims{Subject: d.settings.Name, Audience: []string{s.Node}, Issued: now, Expires: now + d.settings.Boxes/1000,
+		ID: s.ID + "." + strconv.Itoa(s.Pull), URI: Hash(URI(d.settings.Base, s.Type, s.Object, s.Part)), Write: s.Write}
+	if s.Source != "" && s.Source != s.Node {
+		c.Audience = append(c.Audience, s.Source)
+	}
+	if s.Write {
+		c.Critical = claimWrite
+	}
+	token, err := d.ring.Sign(c)
+	if err != nil {
+		return ""
+	}
+	return token
+}
+
 // cookiePath is the path of the cookie that carries a successor: so many segments of the URI's (RFC 9246, cdnistd).
 func cookiePath(base string, depth int) string {
 	_, rest, _ := strings.Cut(base, "://")
--- a/internal/links/door.go
+++ b/internal/links/door.go
@@ -99,6 +99,7 @@
 	AllChecks float64  // from all that have not shown a good one lately; as many again from those that have
 	Name      string   // of this gateway
 	Spenders  []string // gateways that share what must not run twice: a hash of the token names the one that may spend it
+	Boxes     float64  // ms that a link for a box lives; 0: pulls carry none
 	Stored    bool     // what is spent is written down, and read back after a restart
 }
 
--- a/internal/links/drive/drive.go
+++ b/internal/links/drive/drive.go
@@ -42,7 +42,7 @@
 		operator.Attr("renew_within", operator.Span(&s.RenewIn, 0, 24*time.Hour)), operator.Attr("reuse", operator.Whole(&s.Reuse, 0, 60_000)),
 		operator.Attr("memory", operator.Size(&memory, 1<<12, 1<<32)), operator.Attr("checks", operator.Number(&s.Checks, 1, 1e6)),
 		operator.Attr("all_checks", operator.Number(&s.AllChecks, 1, 1e6)), operator.Attr("spenders", operator.Texts(&s.Spenders)),
-		operator.Attr("store", operator.Text(&b.Store)),
+		operator.Attr("store", operator.Text(&b.Store)), operator.Attr("boxes", operator.Span(&s.Boxes, time.Second, time.Hour)),
 		operator.Check(func() error {
 			s.Memory, s.Stored = int(memory), b.Store != ""
 			if strings.HasSuffix(s.Base, "/") {
--- a/internal/rehearsal/auditor/auditor.go
+++ b/internal/rehearsal/auditor/auditor.go
@@ -118,6 +118,10 @@
 		a.pulled(f)
 	case world.Served:
 		a.served(f)
+	case world.Unsigned:
+		if d := a.open[f.ID]; d != nil {
+			a.find(Links, f.At, d.Gateway, f.ID, f.Box, "came to a box without a link that is good there")
+		}
 	case world.Ran:
 		a.ran(f)
 	case world.Told:
--- a/internal/rehearsal/script/fields.go
+++ b/internal/rehearsal/script/fields.go
@@ -98,7 +98,7 @@
 func (l *Links) fields() []op.Field {
 	l.Checks = 1e5
 	return []op.Field{op.Must("life", op.Span(&l.Life, time.Second, 24*time.Hour)), op.Attr("renew", op.Span(&l.Renew, time.Second, 24*time.Hour)),
-		op.Attr("doubled", op.Share(&l.Doubled)), op.Attr("checks", op.Number(&l.Checks, 1, 1e6))}
+		op.Attr("doubled", op.Share(&l.Doubled)), op.Attr("boxes", op.Span(&l.Boxes, time.Second, time.Hour)), op.Attr("checks", op.Number(&l.Checks, 1, 1e6))}
 }
 
 func (p *Phase) fields() []op.Field {
--- a/internal/rehearsal/script/script.go
+++ b/internal/rehearsal/script/script.go
@@ -112,6 +112,7 @@
 	Life    float64 // ms that a link is good
 	Renew   float64 // ms that its successor lives longer
 	Doubled float64 // share of writes that are sent twice at once under one link
+	Boxes   float64 // ms that a gateway's own link for a box lives; 0: boxes ask for none
 	Checks  float64 // signatures a second that a gateway checks for one source
 }
 
--- a/internal/rehearsal/sockets/stage.go
+++ b/internal/rehearsal/sockets/stage.go
@@ -295,6 +295,9 @@
 		name, _, _ := s.world.Config(i)
 		text := fmt.Sprintf("links {\n  keys = %q\n  base = %q\n  audience = [%q, %q]\n  checks = %v\n  all_checks = %v\n  renew_within = \"%.0fms\"\n}\n",
 			s.dir+"/keys.hcl", l.Base, l.Audience[0], name, l.Checks, l.AllChecks, l.RenewIn)
+		if l.Boxes > 0 {
+			text = strings.Replace(text, "links {\n", fmt.Sprintf("links {\n  boxes = \"%.0fms\"\n", l.Boxes), 1)
+		}
 		if err := os.WriteFile(s.operator(i), []byte(text), 0o600); err != nil {
 			return err
 		}
--- a/internal/rehearsal/virtual/virtual_test.go
+++ b/internal/rehearsal/virtual/virtual_test.go
@@ -108,6 +108,7 @@
 links {
   life = "4s"
   doubled = 0.5
+  boxes = "5s"
 }
 event "forge" {
   at = "1s"
@@ -191,6 +192,7 @@
 			s.Audience = append(s.Audience, "gateway-a-a", "gateway-b-b", "gateway-c-a")
 			return true
 		}}},
+		{"signs nothing for boxes", auditor.Links, Tamper{Links: func(s *links.Settings) bool { s.Boxes = 0; return true }}},
 		{"ends by itself", auditor.Alive, Tamper{Crash: func(g int, now float64) bool { return g == 1 && now > 3000 && now < 3200 }}},
 	} {
 		n = 0
--- a/internal/rehearsal/world/door.go
+++ b/internal/rehearsal/world/door.go
@@ -192,6 +192,11 @@
 		At  float64
 		Box string
 	}
+	// Unsigned: a GET came to a box without a link that is good there.
+	Unsigned struct {
+		At      float64
+		ID, Box string
+	}
 	// Made: the core was asked for an object.
 	Made struct{ At float64 }
 	// Moved: bytes went over a link.
--- a/internal/rehearsal/world/link.go
+++ b/internal/rehearsal/world/link.go
@@ -14,9 +14,10 @@
 
 // issuer is the club's desk that gives members their links, and changes its keys.
 type issuer struct {
-	keys []links.Key
-	ring *links.Ring
-	made int
+	keys  []links.Key
+	ring  *links.Ring
+	boxes *links.Ring // as the boxes have it, which take up keys after the gateways have
+	made  int
 }
 
 // The gateways don't talk, so a write's link names the one that may spend it: aud is "club" or a gateway's own name.
@@ -29,6 +30,7 @@
 	}
 	s := links.Defaults()
 	s.Audience = []string{"club"}
+	s.Boxes = l.Boxes
 	s.Base, s.Checks, s.AllChecks, s.RenewIn = LinkBase, l.Checks, 20*l.Checks, l.Life/2
 	return s
 }
@@ -49,6 +51,10 @@
 		panic(err) // the world's own
 	}
 	w.issuer.ring = ring
+	if w.issuer.boxes == nil {
+		w.issuer.boxes = ring
+	}
+	w.after(1000, func() { w.issuer.boxes = ring })
 }
 
 // rotate has the upcoming key sign; a withdrawn one stays in the file as such.
@@ -102,6 +108,19 @@
 	r.Token, r.Chain, r.Source = x.holds.token, x.holds.chain, "10.0.0."+string(rune('0'+x.n%10))
 }
 
+// signed tells whether a GET carries a link of a gateway's that is good for this box and part.
+func (b *box) signed(r *request, token string) bool {
+	w := b.w
+	if w.script.Links.Boxes == 0 {
+		return true
+	}
+	s := w.LinkSettings()
+	s.Audience, s.Stored = []string{b.id}, true
+	s.Memory = 1 << 10
+	a := links.Ask{At: w.epoch + w.now, Token: token, ID: r.id, Type: r.typ.Name, Object: r.key.object, Part: int64(r.key.part), Write: r.typ.Write}
+	return links.New(s, w.issuer.boxes, []byte(b.id), 0).Admit(a).Reason == links.Admitted
+}
+
 // holding is a link as a client holds it, for all parts of what it watches.
 type holding struct {
 	token, chain string
--- a/internal/rehearsal/world/world.go
+++ b/internal/rehearsal/world/world.go
@@ -273,6 +273,10 @@
 			w.tell(Pulled{At: w.now, Gateway: r.ask.gateway, ID: r.id, Object: r.key.object, Part: r.key.part, Type: e.Fields["kind"],
 				Group: r.ask.Group, Box: b.id, Zone: b.zone, Cell: b.cell, Source: r.next})
 		}
+		if r.ask != nil && !c.box.signed(r, e.Fields["link"]) {
+			w.tell(Unsigned{At: w.now, ID: r.id, Box: c.box.id})
+			r.ask = nil // and it is turned down as what nobody asked for
+		}
 		work := r.usual()
 		if r.next == "" {
 			work = trifle // a look
