--- a/internal/links/links_test.go
+++ b/internal/links/links_test.go
@@ -531,3 +531,29 @@
 		t.Errorf("%s\n%s, %v", a, b, err)
 	}
 }
+
+// The figures of RFC 9246's own examples: the hash of section 2.1.15, the expression with the parts of a video, and the
+// claims by which a token renews itself for them in a cookie.
+func TestExamplesOfTheRFC(t *testing.T) {
+	if got := Hash("http://cdni.example/foo/bar"); got != "hash:sha-256;2tderfWPa86Ku7YnzW51YUp7dGUjBS_3SW3ELx4hmWY" {
+		t.Error(got)
+	}
+	match, err := container("regex:http://cdni\\.example/foo/bar/[0-9]{3}\\.png")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for uri, want := range map[string]bool{"http://cdni.example/foo/bar/000.png": true, "http://cdni.example/foo/bar/999.png": true,
+		"http://cdni.example/foo/bar/1000.png": false, "http://cdniXexample/foo/bar/000.png": false, "http://cdni.example/foo/bar/000.png?": false} {
+		if match(uri) != want {
+			t.Errorf("%s: %t", uri, !want)
+		}
+	}
+	c, _, err := parseClaims([]byte(`{"cdniets":30,"cdnistt":1,"cdnistd":2,"exp":1474243500,"iss":"uCDN Inc",` +
+		`"cdniuc":"regex:http://cdni\\.example/foo/bar/[0-9]{3}\\.png"}`))
+	if err != nil || c.Renew != 30 || c.Transport != 1 || c.Depth != 2 || c.Expires != 1474243500 || c.Issuer != "uCDN Inc" {
+		t.Errorf("%+v, %v", c, err)
+	}
+	if got := cookiePath("http://cdni.example/foo/bar", c.Depth); got != "/foo/bar" {
+		t.Error(got)
+	}
+}
