--- a/internal/footprint/config.go
+++ b/internal/footprint/config.go
@@ -20,6 +20,7 @@
 	Fresh         float64 // ms, how old a copy may be where nothing else is said; 0: any
 	Parts, Bodies bool    // there are more parts than the first; a request may bring a body
 	Writes        bool    // it is answered by what it does, not by a copy
+	Once          bool    // it must not run twice, or only where it is told apart
 }
 
 // Config is what one gateway is told at its start.
@@ -71,8 +72,9 @@
 
 type own struct {
 	Classes []struct {
-		Name  string  `json:"name"`
-		Limit float64 `json:"hard_limit"`
+		Name   string  `json:"name"`
+		Limit  float64 `json:"hard_limit"`
+		Effect string  `json:"effect"`
 	} `json:"classes"`
 	Extra struct {
 		Pieces []bool    `json:"in_pieces"`
@@ -159,7 +161,8 @@
 			return nil, fmt.Errorf("settings.classes[%d].hard_limit: must be above 0", i)
 		}
 		// What the settings don't tell is left to the caches.
-		typ := Type{Name: t.Name, Expiry: t.Limit, Parts: i >= len(s.Extra.Pieces) || s.Extra.Pieces[i], Bodies: true, Writes: true}
+		typ := Type{Name: t.Name, Expiry: t.Limit, Parts: i >= len(s.Extra.Pieces) || s.Extra.Pieces[i], Bodies: true, Writes: true,
+			Once: t.Effect != "" && t.Effect != "pure"}
 		if i < len(s.Extra.Writes) {
 			typ.Bodies, typ.Writes = s.Extra.Writes[i], s.Extra.Writes[i]
 		}
--- a/internal/gateway/core.go
+++ b/internal/gateway/core.go
@@ -91,6 +91,7 @@
 	expiry                float64
 	body                  *buffer.Chain
 	copies                bool    // it is answered by a copy, not by what it does
+	once                  bool    // it must not run twice
 	fresh                 float64 // ms, how old a copy may be where a pull doesn't say; 0: any
 	pulls                 []*pull
 	last                  *caches.Pull
@@ -247,7 +248,9 @@
 	g.Ring(now)
 	g.over = true
 	for _, id := range slices.Sorted(maps.Keys(g.downloads)) {
-		if d := g.downloads[id]; !d.answered {
+		if d := g.downloads[id]; !d.answered && d.link != nil && d.link.held != nil {
+			g.unwritten(d) // it never went out
+		} else if !d.answered {
 			g.Abandoned++
 			g.answer(d, clients.Answer{Status: 500})
 			g.event(router.Left{ID: d.id})
@@ -430,7 +433,7 @@
 	}
 	typ := g.config.Types[i]
 	d := &download{id: params["HTTP_X_JOB_ID"], typ: name, object: params["HTTP_X_ITEM"], mine: params["HTTP_X_MINE"],
-		copies: !typ.Writes, fresh: typ.Fresh}
+		copies: !typ.Writes, once: typ.Writes || typ.Once, fresh: typ.Fresh}
 	if !hex(d.id) {
 		return nil, fmt.Errorf("X-Job-Id: %.80q", d.id)
 	}
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -66,7 +66,7 @@
 func (g *Core) admit(e Asked, d *download) bool {
 	k := g.desk
 	v := k.door.Admit(links.Ask{At: e.At, Source: e.Params["REMOTE_ADDR"], Token: k.block.Token(e.Params), ID: d.id, Type: d.typ,
-		Object: d.object, Part: d.part, Write: !d.copies})
+		Object: d.object, Part: d.part, Write: d.once})
 	if v.Reason == links.Admitted {
 		d.link = &linked{spend: v.Spend}
 		if v.Token != "" {
@@ -153,7 +153,7 @@
 // forBox adds a link of this gateway's own to what a pull says, where boxes ask for one.
 func (k *desk) forBox(text string, d *download, p *pull, now float64) string {
 	token := k.door.ForBox(links.Sent{At: now, ID: d.id, Pull: p.n, Node: p.node, Source: p.source, Type: d.typ, Object: d.object,
-		Part: d.part, Write: !d.copies})
+		Part: d.part, Write: d.once})
 	if token == "" {
 		return text
 	}
