--- a/deploy/rehearsals/gateways-killed.hcl
+++ b/deploy/rehearsals/gateways-killed.hcl
@@ -1,5 +1,6 @@
 about = "boxes are released, then gateways go one after another, their absences overlapping"
 seed  = 5
+site  = "sites/two-clubs.hcl"
 
 deployment {
   clubs    = ["amber"]
@@ -24,50 +25,6 @@
   list { told = "600ms" }
 }
 
-type "video-parts" {
-  share   = 0.55
-  work    = "300ms"
-  spread  = 0.9
-  parts   = 8
-  gap     = "700ms"
-  target  = "600ms"
-  stretch = 2
-  expiry  = "6s"
-  benefit = 2
-  late    = 0.15
-  objects = 400
-  once    = 0.05
-  local   = 0.15
-}
-type "club-pages" {
-  share   = 0.41
-  work    = "60ms"
-  spread  = 0.9
-  target  = "300ms"
-  stretch = 2
-  expiry  = "2500ms"
-  late    = 0.2
-  fresh   = "8s"
-  objects = 300
-  once    = 0.05
-  local   = 0.15
-}
-type "renewal" {
-  share   = 0.04
-  work    = "20ms"
-  target  = "800ms"
-  expiry  = "3s"
-  benefit = 3
-  repeat  = "non-retriable"
-  write   = true
-}
-
-clients {
-  retries   = 1
-  impatient = 0.005
-  holds     = 0.02
-}
-
 phase "before" {
   for  = "8s"
   rate = 280
--- a/internal/operator/read.go
+++ b/internal/operator/read.go
@@ -64,6 +64,25 @@
 	return r.found
 }
 
+// Peek finds one attribute of a text whatever else stands there: what has to be known before the rest is read.
+func Peek(text []byte, file, name string) (string, error) {
+	parsed, diags := hclsyntax.ParseConfig(text, file, hcl.InitialPos)
+	if diags.HasErrors() {
+		return "", faults{}.add(diags)
+	}
+	content, _, _ := parsed.Body.PartialContent(&hcl.BodySchema{Attributes: []hcl.AttributeSchema{{Name: name}}})
+	a := content.Attributes[name]
+	if a == nil {
+		return "", nil
+	}
+	v, diags := a.Expr.Value(nil)
+	found := ""
+	if diags.HasErrors() || v.IsNull() || Text(&found)(v) != nil {
+		return "", fmt.Errorf("%s:%d: %s: must be a text", a.Range.Filename, a.Range.Start.Line, name)
+	}
+	return found, nil
+}
+
 // faults are all that is wrong with a file.
 type faults []string
 
--- a/internal/rehearsal/script/fields.go
+++ b/internal/rehearsal/script/fields.go
@@ -58,7 +58,7 @@
 	}
 }
 
-func (t *Type) fields(sharing *float64) []op.Field {
+func (t *Type) fields() []op.Field {
 	return []op.Field{
 		op.Must("share", op.Share(&t.Share)), op.Must("work", op.Span(&t.Work, time.Millisecond, time.Minute)),
 		op.Attr("spread", op.Number(&t.Spread, 0, 3)), op.Attr("parts", op.Whole(&t.Parts, 1, 1000)), op.Attr("gap", op.Span(&t.Gap, 0, time.Minute)),
@@ -70,7 +70,6 @@
 		op.Attr("write", op.Flag(&t.Write)), op.Attr("objects", op.Whole(&t.Objects, 1, 1e6)), op.Attr("skew", op.Number(&t.Skew, 0, 3)),
 		op.Attr("once", op.Share(&t.Once)), op.Attr("local", op.Share(&t.Local)), op.Attr("old_worth", op.Share(&t.OldWorth)),
 		op.Check(func() error {
-			*sharing += t.Share
 			if t.Target > t.Expiry {
 				return fmt.Errorf("target of %v ms is past the expiry of %v ms", t.Target, t.Expiry)
 			}
--- a/internal/rehearsal/script/script.go
+++ b/internal/rehearsal/script/script.go
@@ -144,6 +144,7 @@
 type Event struct {
 	Do             string
 	Line           int
+	Number         int // among the events as they stand: what chance is keyed by, so that a comment more changes nothing
 	At, For, Every float64
 	Times          int
 	On, Name       string // kind of what it happens to, or one by name
@@ -181,36 +182,69 @@
 	return all
 }
 
-// Load reads a script; its name is that of the file.
+// Load reads a script; its name is that of the file. A script may name a site, a file beside it that holds deployment, types
+// and clients for many scripts; what the script says itself comes on top.
 func Load(path string) (*Script, error) {
 	text, err := operator.Read(path)
 	if err != nil {
 		return nil, err
 	}
-	s, err := Parse(text, path)
+	s := defaults()
+	site, err := operator.Peek(text, path, "site")
+	if err == nil && site != "" {
+		site = filepath.Join(filepath.Dir(path), site)
+		var common []byte
+		if common, err = operator.Read(site); err == nil {
+			err = operator.Parse(common, site, s.common()...)
+		}
+	}
 	if err == nil {
-		s.Name = strings.TrimSuffix(filepath.Base(path), ".hcl")
+		err = s.parse(text, path)
 	}
-	return s, err
+	if err != nil {
+		return nil, err
+	}
+	s.Name = strings.TrimSuffix(filepath.Base(path), ".hcl")
+	return s, nil
 }
 
 const longest = time.Hour
 
-// Parse reads a script's text.
+// Parse reads a script's text, which stands alone.
 func Parse(text []byte, file string) (*Script, error) {
 	s := defaults()
-	sharing := 0.0
-	err := operator.Parse(text, file,
-		operator.Must("about", operator.Text(&s.About)), operator.Attr("seed", operator.Whole(&s.Seed, 0, 1<<30)),
-		operator.One("deployment", s.deployment), operator.One("clients", s.Clients.fields), operator.One("links", s.Links.fields), operator.One("fair", s.Fair.fields),
+	if err := s.parse(text, file); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+// common is what a site says.
+func (s *Script) common() []operator.Field {
+	var named []string
+	return []operator.Field{operator.One("deployment", s.deployment), operator.One("clients", s.Clients.fields),
 		operator.Block("type", []string{"name"}, func(labels []string, _ int) ([]operator.Field, error) {
-			if slices.ContainsFunc(s.Types, func(t Type) bool { return t.Name == labels[0] }) {
+			if slices.Contains(named, labels[0]) {
 				return nil, errors.New("stands twice")
 			}
-			s.Types = append(s.Types, Type{Name: labels[0], Parts: 1, Spread: 0.5, Target: 500, Expiry: 3000, Benefit: 1, Repeat: "retriable",
-				Scope: "all", Window: 5000, Objects: 2000, Skew: 1, OldWorth: 0.7})
-			return s.Types[len(s.Types)-1].fields(&sharing), nil // read before the next one moves them
-		}),
+			named = append(named, labels[0])
+			t := Type{Name: labels[0], Parts: 1, Spread: 0.5, Target: 500, Expiry: 3000, Benefit: 1, Repeat: "retriable",
+				Scope: "all", Window: 5000, Objects: 2000, Skew: 1, OldWorth: 0.7}
+			i := slices.IndexFunc(s.Types, func(t Type) bool { return t.Name == labels[0] })
+			if i < 0 {
+				s.Types, i = append(s.Types, t), len(s.Types)
+			} else {
+				s.Types[i] = t
+			}
+			return s.Types[i].fields(), nil // read before the next one moves them
+		})}
+}
+
+func (s *Script) parse(text []byte, file string) error {
+	site := ""
+	err := operator.Parse(text, file, append(s.common(), operator.Attr("site", operator.Text(&site)),
+		operator.Must("about", operator.Text(&s.About)), operator.Attr("seed", operator.Whole(&s.Seed, 0, 1<<30)),
+		operator.One("links", s.Links.fields), operator.One("fair", s.Fair.fields),
 		operator.Block("phase", []string{"name"}, func(labels []string, _ int) ([]operator.Field, error) {
 			p := Phase{Name: labels[0]}
 			if n := len(s.Phases); n > 0 {
@@ -223,19 +257,20 @@
 			if deeds[labels[0]] == nil {
 				return nil, fmt.Errorf("is none of %s", strings.Join(Deeds(), ", "))
 			}
-			s.Events = append(s.Events, Event{Do: labels[0], Line: line, On: deeds[labels[0]][0], Times: 1})
+			s.Events = append(s.Events, Event{Do: labels[0], Line: line, Number: len(s.Events), On: deeds[labels[0]][0], Times: 1})
 			return s.Events[len(s.Events)-1].fields(), nil
 		}),
-		operator.Check(func() error { return s.whole(sharing) }))
-	if err != nil {
-		return nil, err
-	}
+		operator.Check(s.whole))...)
 	slices.SortStableFunc(s.Events, func(a, b Event) int { return cmp.Compare(a.At, b.At) })
-	return s, nil
+	return err
 }
 
 // whole checks what only shows when all is read.
-func (s *Script) whole(sharing float64) error {
+func (s *Script) whole() error {
+	sharing := 0.0
+	for _, t := range s.Types {
+		sharing += t.Share
+	}
 	switch {
 	case len(s.Types) == 0:
 		return errors.New("no type of content")
--- a/internal/rehearsal/script/script_test.go
+++ b/internal/rehearsal/script/script_test.go
@@ -1,6 +1,8 @@
 package script
 
 import (
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 )
@@ -54,3 +56,28 @@
 		}
 	}
 }
+
+// A site that several scripts share is read first, what the script says comes on top; a site that is wrong is named.
+func TestSite(t *testing.T) {
+	dir := t.TempDir()
+	write := func(name, text string) string {
+		path := filepath.Join(dir, name)
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return path
+	}
+	write("site.hcl", "deployment {\n gateways = 5\n box { count = 7 }\n}\n"+good[strings.Index(good, "type"):strings.Index(good, "phase")])
+	rest := good[strings.Index(good, "phase"):]
+	s, err := Load(write("a.hcl", "about = \"x\"\nsite = \"site.hcl\"\ndeployment {\n gateways = 6\n}\n"+rest))
+	if err != nil || s.Gateways != 6 || s.Box.Count != 7 || len(s.Types) != 1 || s.Name != "a" {
+		t.Errorf("%+v, %v", s, err)
+	}
+	write("odd.hcl", "deploiment {}\n")
+	for text, want := range map[string]string{"about = \"x\"\nsite = \"none.hcl\"\n" + rest: "none.hcl", "about = \"x\"\nsite = 3\n" + rest: "b.hcl:2: site",
+		"about = \"x\"\nsite = \"odd.hcl\"\n" + rest: "odd.hcl:1: Unsupported block"} {
+		if _, err := Load(write("b.hcl", text)); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%v, want %q", err, want)
+		}
+	}
+}
--- a/internal/rehearsal/world/happen.go
+++ b/internal/rehearsal/world/happen.go
@@ -40,7 +40,7 @@
 
 func pickSome[T any](w *World, e *script.Event, i int, all []T, id func(T) string) []T {
 	slices.SortStableFunc(all, func(a, b T) int {
-		return cmp.Compare(w.draws.key("pick", e.Line, i, id(a)), w.draws.key("pick", e.Line, i, id(b)))
+		return cmp.Compare(w.draws.key("pick", e.Number, i, id(a)), w.draws.key("pick", e.Number, i, id(b)))
 	})
 	n := 1
 	shares := !slices.Contains([]string{"fail", "lose", "cut"}, e.Do) && e.Share > 0
@@ -189,7 +189,7 @@
 		w.until(e, func() { w.list.lag -= e.Delay })
 	case "purge":
 		for g := range e.Groups {
-			w.purge("", int(w.draws.key("purged", e.Line, g)%256))
+			w.purge("", int(w.draws.key("purged", e.Number, g)%256))
 		}
 		for i, t := range w.types {
 			for n := range int(e.Share * float64(t.Objects)) {
@@ -232,11 +232,11 @@
 	case "storm":
 		club := cmp.Or(e.Club, w.script.Clubs[0])
 		for n := range e.Kiosks {
-			i := int(w.draws.key("kiosk", e.Line, n) % uint64(len(w.types)))
+			i := int(w.draws.key("kiosk", e.Number, n) % uint64(len(w.types)))
 			for w.types[i].Write {
 				i = (i + 1) % len(w.types)
 			}
-			x := &want{n: 1<<40 + e.Line<<24 + n<<12, typ: w.types[i], object: w.draws.id("object", i, n%5), club: club, at: w.now,
+			x := &want{n: 1<<40 + e.Number<<24 + n<<12, typ: w.types[i], object: w.draws.id("object", i, n%5), club: club, at: w.now,
 				until: w.now + w.types[i].Expiry, kiosk: true, stop: w.now + e.For}
 			w.ask(x)
 		}
--- a/internal/rehearsal/world/link.go
+++ b/internal/rehearsal/world/link.go
@@ -137,7 +137,7 @@
 
 // forge sends requests whose links are not good, so many times as often as honest ones come.
 func (w *World) forge(e *script.Event, n int, end float64) {
-	c := w.draws.chance("forge", e.Line, n)
+	c := w.draws.chance("forge", e.Number, n)
 	w.after(pause(&c, e.Factor*w.rate(w.now)/1000), func() {
 		if w.now >= end || w.over {
 			return
