--- a/deploy/poppymill.hcl
+++ b/deploy/poppymill.hcl
@@ -30,3 +30,22 @@
 #   boxes        = "5s"                       # that a link for a box lives, which goes with each pull; none without it
 #   store        = "/var/lib/poppymill/spent" # what is spent survives a restart
 # }
+
+# Fair shares among clubs and their clients. Off unless this block stands here: docs/operate/fair.md.
+#
+# fair {
+#   club         = "header X-Club"   # who names the club of a request; without it all are of one
+#   client       = "link"            # sub of the signed link, "address", or "header NAME"
+#   ahead        = ["renewal"]       # types that go first within a club's share, never beyond it
+#   clubs        = 32                # told apart exactly
+#   flows        = 256               # hashed places for light clients, of each club
+#   heavy        = 64                # clients told apart exactly, as they cost most
+#   change       = "10s"             # after which clients that collide are parted
+#   queue        = 2048              # downloads that wait at a time
+#   slack        = "250ms"           # around its time within which an appointment holds
+#   booked       = 0.7               # of what is carried, that may be booked ahead
+#   longest_wait = "20s"             # that a client may be told to stay away, as far as the platform allows it
+#   weight "amber" {
+#     is = 2
+#   }
+# }
--- a/internal/rehearsal/report/report.go
+++ b/internal/rehearsal/report/report.go
@@ -10,6 +10,8 @@
 	"slices"
 	"text/tabwriter"
 
+	"github.com/HdrHistogram/hdrhistogram-go"
+
 	"poppymill/internal/rehearsal/auditor"
 	"poppymill/internal/rehearsal/script"
 	"poppymill/internal/rehearsal/world"
@@ -72,22 +74,27 @@
 	Core      int     `json:"core_requests"`
 	CorePeak  int     `json:"core_requests_in_worst_second"`
 	Megabytes float64 `json:"link_megabytes"`
+	Median    float64 `json:"answer_ms_50th"` // of answers that bring something, from their request
+	Slowest   float64 `json:"answer_ms_99th"`
 }
 
 // Counter hears the world's facts.
 type Counter struct {
 	script *script.Script
 	fig    Figures
-	writes [][2]int // by phase: wanted and in time or late
+	asked  map[string]float64
+	times  []*hdrhistogram.Histogram // by phase, microseconds
+	writes [][2]int                  // by phase: wanted and in time or late
 	core   []map[int]int
 	hits   []map[int][2]int // by phase and second of it: hits and pulls
 }
 
 // New makes a counter for a script.
 func New(s *script.Script) *Counter {
-	c := &Counter{script: s, fig: Figures{Types: map[string]*Counts{}, Members: map[string]*Counts{}, Links: map[string]float64{}, Measured: []string{}, Findings: []string{}, Fell: []string{}}}
+	c := &Counter{script: s, asked: map[string]float64{}, fig: Figures{Types: map[string]*Counts{}, Members: map[string]*Counts{}, Links: map[string]float64{}, Measured: []string{}, Findings: []string{}, Fell: []string{}}}
 	for _, p := range s.Phases {
 		c.fig.Phases = append(c.fig.Phases, Phase{Name: p.Name})
+		c.times = append(c.times, hdrhistogram.New(1, 60_000_000, 3))
 		c.writes, c.core, c.hits = append(c.writes, [2]int{}), append(c.core, map[int]int{}), append(c.hits, map[int][2]int{})
 	}
 	for _, t := range s.Types {
@@ -109,15 +116,22 @@
 func (c *Counter) See(f world.Fact) {
 	switch f := f.(type) {
 	case world.Asked:
+		c.asked[f.ID] = f.At
 		c.fig.Phases[c.phase(f.At)].Tries++
 	case world.Answered:
 		switch p := &c.fig.Phases[c.phase(f.At)]; f.Status {
 		case 200:
+			if at, ok := c.asked[f.ID]; ok {
+				c.times[c.phase(f.At)].RecordValue(min(60_000_000, max(1, int64(1000*(f.At-at)))))
+			}
 		case 429, 503:
 			p.Refusals++
 		default:
 			p.Abandons++
 		}
+		delete(c.asked, f.ID)
+	case world.Ended:
+		delete(c.asked, f.ID)
 	case world.Pulled:
 		c.fig.Phases[c.phase(f.At)].Pulls++
 	case world.Served:
@@ -194,6 +208,7 @@
 	}
 	for i, p := range c.script.Phases {
 		f, e := &c.fig.Phases[i], p.Expect
+		f.Median, f.Slowest = float64(c.times[i].ValueAtQuantile(50))/1000, float64(c.times[i].ValueAtQuantile(99))/1000
 		for _, n := range c.core[i] {
 			f.CorePeak = max(f.CorePeak, n)
 		}
@@ -247,12 +262,12 @@
 // Print writes a report for people.
 func (r *Report) Print(to io.Writer) {
 	w := tabwriter.NewWriter(to, 0, 8, 2, ' ', 0)
-	fmt.Fprintln(w, "phase\tasked\tin time\tlate\tthrottled\tabandoned\tlost\tpulls\thits\tcore\tpeak a s\tlinks MB")
+	fmt.Fprintln(w, "phase\tasked\tin time\tlate\tthrottled\tabandoned\tlost\tpulls\thits\tcore\tpeak a s\tlinks MB\tms 50th\t99th")
 	row := func(name string, n Counts, rest string) {
 		fmt.Fprintf(w, "%s\t%d\t%.3f\t%d\t%d\t%d\t%d%s\n", name, n.Asked, n.Share, n.Late, n.Throttled, n.Abandoned, n.Lost, rest)
 	}
 	for _, p := range r.Figures.Phases {
-		row(p.Name, p.Counts, fmt.Sprintf("\t%d\t%.2f\t%d\t%d\t%.0f", p.Pulls, float64(p.Hits)/float64(max(1, p.Pulls)), p.Core, p.CorePeak, p.Megabytes))
+		row(p.Name, p.Counts, fmt.Sprintf("\t%d\t%.2f\t%d\t%d\t%.0f\t%.0f\t%.0f", p.Pulls, float64(p.Hits)/float64(max(1, p.Pulls)), p.Core, p.CorePeak, p.Megabytes, p.Median, p.Slowest))
 	}
 	for _, t := range slices.Sorted(maps.Keys(r.Figures.Types)) {
 		row(t, *r.Figures.Types[t], "")
