--- a/deploy/rehearsals/gateways-killed.hcl
+++ b/deploy/rehearsals/gateways-killed.hcl
@@ -3,26 +3,8 @@
 site  = "sites/two-clubs.hcl"
 
 deployment {
-  clubs    = ["amber"]
-  gateways = 3
-  flow     = "9.5MB"
-  link     = "260MB"
-  box {
-    count      = 10
-    cores_from = 5
-    cores_to   = 8
-    store      = "3GB"
-    held       = 0.7
-    cold_share = 0.3
-    cold_for   = "12s"
-  }
-  hub {
-    count = 2
-    store = "12GB"
-    held  = 0.8
-  }
-  core { capacity = 60 }
-  list { told = "600ms" }
+  clubs = ["amber"]
+  link  = "260MB"
 }
 
 phase "before" {
--- a/internal/fair/gate.go
+++ b/internal/fair/gate.go
@@ -21,8 +21,8 @@
 	others   []*Club
 	heavy    *heavies
 	virtual  float64
-	backlog  clubHeap
-	due      due
+	backlog  order[*Club]
+	due      order[*waiting]
 	waits    map[string]*waiting
 	open     map[string]admitted
 	limit    limit
@@ -279,7 +279,7 @@
 			c.ahead.pop()
 			w.flow.finish = max(c.virtual, w.flow.finish) + w.cost
 		} else {
-			f := c.flows.head()
+			f := next(&c.flows)
 			c.virtual = max(c.virtual, f.start)
 			w = f.line.pop()
 			f.finish = f.start + w.cost
--- a/internal/fair/share.go
+++ b/internal/fair/share.go
@@ -70,7 +70,7 @@
 	start   float64
 	virtual float64 // of its flows
 	ahead   line    // goes first
-	flows   flowHeap
+	flows   order[*flow]
 	hashed  []*flow // of light clients
 	place   int     // among the backlogged clubs; -1: nothing waits
 	used    float64
@@ -80,12 +80,10 @@
 	Cost                       float64
 }
 
-func (c *Club) backlogged() bool { return c.ahead.head() != nil || c.flows.head() != nil }
+func (c *Club) backlogged() bool { return c.ahead.head() != nil || next(&c.flows) != nil }
 
-type flowHeap []*flow
-
-// head is the backlogged flow with the least start tag; flows whose last has gone leave.
-func (h *flowHeap) head() *flow {
+// next is the backlogged flow with the least start tag; flows whose last has gone leave.
+func next(h *order[*flow]) *flow {
 	for len(*h) > 0 {
 		f := (*h)[0]
 		if f.line.head() != nil {
@@ -96,74 +94,47 @@
 	return nil
 }
 
-func (h flowHeap) Len() int { return len(h) }
-func (h flowHeap) Less(i, j int) bool {
-	return h[i].start < h[j].start || h[i].start == h[j].start && h[i].index < h[j].index
-}
-func (h flowHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].place, h[j].place = i, j
-}
-func (h *flowHeap) Push(x any) {
-	f := x.(*flow)
-	f.place = len(*h)
-	*h = append(*h, f)
-}
-func (h *flowHeap) Pop() any {
-	old := *h
-	f := old[len(old)-1]
-	*h = old[:len(old)-1]
-	f.place = -1
-	return f
+// ordered is what a heap holds: it has an order, and knows its place so that it can be taken out of the middle.
+type ordered[T any] interface {
+	before(T) bool
+	slot() *int
 }
 
-type clubHeap []*Club
+// order is a heap, the first of its order in front; a place of -1 is none.
+type order[T ordered[T]] []T
 
-func (h clubHeap) Len() int { return len(h) }
-func (h clubHeap) Less(i, j int) bool {
-	return h[i].start < h[j].start || h[i].start == h[j].start && h[i].index < h[j].index
-}
-func (h clubHeap) Swap(i, j int) {
+func (h order[T]) Len() int           { return len(h) }
+func (h order[T]) Less(i, j int) bool { return h[i].before(h[j]) }
+func (h order[T]) Swap(i, j int) {
 	h[i], h[j] = h[j], h[i]
-	h[i].place, h[j].place = i, j
+	*h[i].slot(), *h[j].slot() = i, j
 }
-func (h *clubHeap) Push(x any) {
-	c := x.(*Club)
-	c.place = len(*h)
-	*h = append(*h, c)
+func (h *order[T]) Push(x any) {
+	e := x.(T)
+	*e.slot() = len(*h)
+	*h = append(*h, e)
 }
-func (h *clubHeap) Pop() any {
+func (h *order[T]) Pop() any {
 	old := *h
-	c := old[len(old)-1]
+	e := old[len(old)-1]
+	clear(old[len(old)-1:])
 	*h = old[:len(old)-1]
-	c.place = -1
-	return c
+	*e.slot() = -1
+	return e
 }
 
-// due orders what waits by when it must have left the door.
-type due []*waiting
-
-func (h due) Len() int { return len(h) }
-func (h due) Less(i, j int) bool {
-	return h[i].gone < h[j].gone || h[i].gone == h[j].gone && h[i].ID < h[j].ID
-}
-func (h due) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].place, h[j].place = i, j
-}
-func (h *due) Push(x any) {
-	w := x.(*waiting)
-	w.place = len(*h)
-	*h = append(*h, w)
+func (f *flow) before(o *flow) bool {
+	return f.start < o.start || f.start == o.start && f.index < o.index
 }
-func (h *due) Pop() any {
-	old := *h
-	w := old[len(old)-1]
-	old[len(old)-1] = nil
-	*h = old[:len(old)-1]
-	w.place = -1
-	return w
+func (f *flow) slot() *int { return &f.place }
+func (c *Club) before(o *Club) bool {
+	return c.start < o.start || c.start == o.start && c.index < o.index
 }
+func (c *Club) slot() *int { return &c.place }
+
+// before orders what waits by when it must have left the door.
+func (w *waiting) before(o *waiting) bool { return w.gone < o.gone || w.gone == o.gone && w.ID < o.ID }
+func (w *waiting) slot() *int             { return &w.place }
 
 func digest(seed uint64, words ...string) uint64 {
 	h := xxhash.NewWithSeed(seed)
