What a client asks and gives up in one read is sent to no node

Cause: the reader posted both one after the other, and the core sent a pull for what was over. Change: the reader ends such a request itself.

--- a/internal/clients/fastcgi.go
+++ b/internal/clients/fastcgi.go
@@ -49,6 +49,7 @@
 	Complete Kind = iota // a request has come whole
 	Aborted              // the client has given a whole request up
 	Reply                // bytes to write, of the protocol's own
+	Void                 // nothing any more
 )
 
 // Event is what Feed finds.
--- a/internal/clients/fastcgi_test.go
+++ b/internal/clients/fastcgi_test.go
@@ -384,3 +384,29 @@
 		t.Errorf("left over: %v", err)
 	}
 }
+
+// What is asked and given up in one read reaches nobody, and its number may be used again.
+func TestGivenUpAtOnce(t *testing.T) {
+	h := heard{make(chan func(Answer), 9), make(chan *Conn, 9), make(chan error, 9)}
+	bodies := buffer.NewPool(1 << 20)
+	s := &Server{Pool: bodies, Reads: buffer.NewPool(1 << 20), Handler: h, Most: 2, Now: func() float64 { return 0 }}
+	l := pipes{make(chan net.Conn)}
+	done := make(chan error)
+	go func() { done <- s.Serve(context.Background(), l) }()
+	c := l.dial()
+	go io.Copy(io.Discard, c)
+	once := append(request(1, 1), record(nil, typeAbort, 1, nil)...)
+	if _, err := c.Write(append(once, request(2, 1)...)); err != nil {
+		t.Fatal(err)
+	}
+	(<-h.asked)(Answer{Status: 200})
+	if _, err := c.Write(request(1, 1)); err != nil {
+		t.Fatal(err)
+	}
+	(<-h.asked)(Answer{Status: 200})
+	l.Close()
+	s.Cut()
+	if err := <-done; err != nil || bodies.Out() != 0 || len(h.asked) != 0 {
+		t.Errorf("%v, %d buffers are out, %d more were handed on", err, bodies.Out(), len(h.asked))
+	}
+}
--- a/internal/clients/serve.go
+++ b/internal/clients/serve.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"runtime"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -254,6 +255,13 @@
 		for i, e := range found {
 			switch e.Kind {
 			case Complete:
+				// What came and was given up in one read is nobody's any more: it must not be sent to a node.
+				if j := i + 1 + slices.IndexFunc(found[i+1:], func(f Event) bool { return f.Kind == Aborted && f.ID == e.ID }); j > i {
+					e.Body.Release()
+					found[j].Kind = Void
+					c.Answer(e.ID, Answer{None: true})
+					break
+				}
 				c.server.Handler.Asked(c, e.ID, e.Params, e.Body, at)
 			case Aborted:
 				c.server.Handler.Aborted(c, e.ID, at)
