--- a/internal/fair/gate.go
+++ b/internal/fair/gate.go
@@ -424,9 +424,6 @@
 	return len(g.open), len(g.waits), g.limit.most, g.limit.stretch(g.now), g.limit.quick
 }
 
-// Limit is how many downloads are let in at a time now; infinite until some were late.
-func (g *Gate) Limit() float64 { return g.limit.most }
-
 // enough ends to judge by: of fewer the mean is chance, where some are held and others have to be filled.
 const enough = 24
 
--- a/internal/links/door.go
+++ b/internal/links/door.go
@@ -70,14 +70,12 @@
 	NoMemory     // what is spent can't be remembered, so what must not run twice is not let through
 	BeforeStart  // issued before this gateway's start, of which nothing is remembered
 	NotThisOne   // another gateway's to spend
-	NotWritten   // the store could not write it down
 	reasonsCount // of them
 )
 
 var reasons = [...]string{"admitted", "no token", "too large", "malformed", "unknown key", "key retired or withdrawn", "wrong algorithm",
 	"wrong issuer", "expired", "not yet valid", "lives too long", "wrong version", "unknown critical claim", "wrong audience", "wrong uri",
-	"wrong method", "wrong client", "busy", "bad signature", "replayed", "memory full", "issued before the start", "another gateway's",
-	"not written"}
+	"wrong method", "wrong client", "busy", "bad signature", "replayed", "memory full", "issued before the start", "another gateway's"}
 
 func (r Reason) String() string { return reasons[r] }
 
--- a/internal/links/links_test.go
+++ b/internal/links/links_test.go
@@ -557,3 +557,19 @@
 		t.Error(got)
 	}
 }
+
+// A million links offered take the memory that was given and not a byte more; those in force stay spent.
+func TestMemoryOfAMillion(t *testing.T) {
+	s := newSpent(4 << 20)
+	first := digest(nil, "first")
+	s.use(first, noon, noon+1e6, 1)
+	slots, full := len(s.slots), 0
+	for i := range 1_000_000 {
+		if why, ok := s.use(digest(nil, fmt.Sprint(i)), noon, noon+1e6, 1); !ok && why == NoMemory {
+			full++
+		}
+	}
+	if why, _ := s.use(first, noon, noon+1e6, 1); why != Replayed || len(s.slots) != slots || slots*slotBytes > 4<<20 || full != 1_000_000+1-slots {
+		t.Errorf("%d slots, %d before, %d refused, the first: %v", len(s.slots), slots, full, why)
+	}
+}
--- a/internal/rehearsal/sockets/stage.go
+++ b/internal/rehearsal/sockets/stage.go
@@ -161,11 +161,6 @@
 	return errors.Join(err, os.RemoveAll(s.dir))
 }
 
-// Lateness tells how late the stage was with what was due, in ms: one of a hundred cases, and the worst.
-func (s *Stage) Lateness() (high, worst float64) {
-	return float64(s.late.ValueAtQuantile(99)) / 1000, float64(s.late.Max()) / 1000
-}
-
 func (s *Stage) loop() {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
--- a/internal/rehearsal/world/config.go
+++ b/internal/rehearsal/world/config.go
@@ -57,9 +57,6 @@
 	}
 }
 
-// Zone is the club of a gateway.
-func (w *World) Zone(number int) string { return w.gateways[number].zone }
-
 // Params words a request as the web servers do.
 func Params(r Request) map[string]string {
 	p := map[string]string{"SCRIPT_NAME": "/invoke/" + r.Type, "HTTP_X_JOB_ID": r.ID, "HTTP_X_ALLOW_MS": strconv.Itoa(int(r.Allow)),
