Parents out of reach count alone; calm lanes open; fewer questions on silent connections

Checked by a log line at each judgement of a lane and each refusal: nine in ten of the fills judged late in the bad ten seconds were turned away 400 ms, the connect time, after they were sent, by 8 of 19 parents; fills by the others were in time, and nearly all that was given up met the bound of the one lane of all fills (Node.end, Lane.judge). With 11 downloads a second a gateway no parent reached five failures, so none was set aside. Later the bound stood at 2 to 3 while 4 in a hundred were late (Lane.judge: a tenth of a pull for each answer). The probes are questions of connections: Pool.Watch asks after 400 ms of silence, while the median answer takes 450 to 720 ms. Excluded: the link (lateness alike over all locations), places at the edge (own copies in time), probes of what is set aside (every 2 s in place of 0.5: same price). Change: a fill turned away after the connect time counts against its source alone and 2.5 times; a calm lane judged by under twenty answers doubles with as many in time; a connection is asked after three usual answer times. A test for each.

--- a/internal/caches/caches_test.go
+++ b/internal/caches/caches_test.go
@@ -388,6 +388,21 @@
 	}
 	expect(t, "slow, and there", fmt.Sprint(b.ended(), " ", b.lines[0].closed, len(b.probes)), " false 0")
 
+	// Where answers take a second, a connection is not asked for each of them: all gateways' questions would add up.
+	b = start()
+	for i := range 200 {
+		id := fmt.Sprint("slow", i)
+		b.pull(id, 0)
+		b.lines[0].write(true)
+		b.answer(0, id, "DONE", "-", 1000)
+	}
+	b.ended()
+	b.lines[0].heard = 1000
+	watch(b, 1000, 3900)
+	expect(t, "not asked within three usual times", len(b.lines[0].queue), 0)
+	watch(b, 4000, 4100)
+	expect(t, "asked past them", len(b.lines[0].queue), 1)
+
 	b = start()
 	b.Watch(0)
 	b.Watch(3000)
--- a/internal/caches/pool.go
+++ b/internal/caches/pool.go
@@ -68,6 +68,7 @@
 	reuse   reuse
 	closed  bool
 	watched float64
+	usual   float64 // ms that an answer takes of late
 
 	Dialled, Malformed, Short, Late, Mute, Old int // counters; Short of descriptors or buffers
 }
@@ -475,6 +476,9 @@
 	} else {
 		r.Body.Release()
 	}
+	if !probe {
+		p.usual += (e.At - q.sent - p.usual) / 32
+	}
 	p.end(q, end)
 	p.tidy(l)
 }
@@ -482,6 +486,10 @@
 // ageSlack is what the clocks of two machines, and rounding, may make a copy look older than it is.
 const ageSlack = 50.0
 
+// seldom is how many times as long as an answer takes of late a connection may be silent before it is asked: where large
+// objects take longer than a connection does to come up, each of them would else bring a question, which the fleet pays for.
+const seldom = 3.0
+
 // Watch finds connections that have stopped amid an answer or gone silent, as a whole, and so before the pulls on
 // them time out one by one. What is merely slow answers the question whether it is there.
 func (p *Pool) Watch(now float64) {
@@ -508,7 +516,7 @@
 		case l.check != nil && at > l.check.sent:
 			p.end(l.check, End{Status: router.CalledOff, At: now}) // what it says answers the question
 			p.tidy(l)
-		case l.check == nil && p.limits.Checks && quiet > p.limits.Answer:
+		case l.check == nil && p.limits.Checks && quiet > max(p.limits.Answer, seldom*p.usual):
 			l.check = p.ask(l, now)
 		}
 	}
--- a/router/helpers_test.go
+++ b/router/helpers_test.go
@@ -10,7 +10,7 @@
 		"target": []any{600.0, 800.0}, "fresh": []any{0.0, 0.0}, "writes": []any{false, true},
 		"most pulls": 4.0, "flow": 10_000.0, "weights": "nominal", "notes": "hit", "fall time": 1000.0, "fall multiple": 2.0,
 		"cold share": 0.2, "cold time": 10000.0, "parent cold share": 0.1, "parent cold time": 10000.0,
-		"parent fall multiple": 2.0, "purge settles": 6000.0, "call off": true, "probes": true,
+		"parent fall multiple": 2.0, "purge settles": 6000.0, "call off": true, "probes": true, "connect time": 400.0,
 	}
 }
 
--- a/router/parts.go
+++ b/router/parts.go
@@ -53,6 +53,7 @@
 	cost   float64 // sending time, of the mean of its type
 	hung   bool    // a second copy was sought as it took long
 	erred  bool    // it ended with an error that counts against nobody yet
+	mute   bool    // its source can't be reached
 	ask    bool    // for what the source holds, no more
 	last   bool    // nothing healthier is left
 }
--- a/router/router.go
+++ b/router/router.go
@@ -385,6 +385,12 @@
 	if at, source := p.at.share(r.now), p.source.share(r.now); e.Status != NotConnected && e.Status != Broken {
 		p.blame = source / (at + source)
 	}
+	// Turned away after as long as a connection may take, a fill tells that its source can't be reached: that is not
+	// the link, and not the edge cache.
+	wait := r.foot.num("connect time")
+	if p.mute = e.Status == TurnedAway && p.source != p.at && wait > 0 && r.now-p.sent >= wait; p.mute {
+		p.blame = 1
+	}
 	p.may = !slices.Contains([]Status{TurnedAway, NotConnected, NeverSent, Missed}, e.Status)
 	r.both(note{topic: ended, pull: p, event: e})
 	if !d.write {
@@ -589,7 +595,13 @@
 	if late {
 		l.late.Add(r.now, 1)
 	} else if float64(l.out+1) > 0.7*l.most {
-		l.most += min(0.1, 1/l.most)
+		// Where answers are few a tenth of a pull for each would leave a lane shut long after its trouble; where they are
+		// many the smaller steps add up. Doubling in a lane that is not calm would only fill the queue anew.
+		step := min(0.1, 1/l.most)
+		if all := l.all.Sum(r.now); all < fewAnswers && l.calm(r) {
+			step = max(step, l.most/all)
+		}
+		l.most += step
 	}
 	if r.now >= l.cut+span/8 && l.troubled(r) {
 		l.most, l.cut = max(laneLeast/r.peers, 0.8*min(l.most, float64(l.out+1))), r.now
@@ -607,6 +619,8 @@
 func (l *Lane) troubled(r *Router) bool { return l.late.Sum(r.now) > 0.5+0.25*l.all.Sum(r.now) }
 func (l *Lane) calm(r *Router) bool     { return l.late.Sum(r.now) < 0.1*l.all.Sum(r.now) }
 
+const fewAnswers = 20.0 // in a lane's 2 s
+
 const laneLeast = 6 // pulls out that are no queue, of all gateways at a location together
 
 func newLane() Lane {
@@ -638,13 +652,15 @@
 	}
 	// Where answers tell fills apart, their lateness is the source's: copies at the edge go on being served.
 	untold := e.Note == NotTold && e.Status != TurnedAway && r.foot.text("notes") == "none"
-	if n != p.at || p.source == p.at || e.Note == Held || untold {
+	if !p.mute && (n != p.at || p.source == p.at || e.Note == Held || untold) {
 		lane.judge(r, p.late || e.Status == TurnedAway)
 		if e.Status != Fulfilled && e.Status != Missed && e.Status != NeverSent {
 			lane.failed.Add(r.now, 1)
 		}
 	}
 	switch {
+	case p.mute && n != p.at:
+		n.bad.Add(r.now, muteWeighs)
 	case p.late && n != p.at || p.erred:
 	case e.Status == Fulfilled, e.Status == Missed:
 		n.good.Add(r.now, 1)
@@ -654,6 +670,9 @@
 	n.judge(r)
 }
 
+// muteWeighs is what one that can't be reached counts in failed pulls: with little traffic a second one has to do.
+const muteWeighs = 2.5
+
 // judge sets aside what fails or hangs more than its peers do. Trouble that all share moves the median too
 // and sets nobody aside, short of failing nearly all.
 func (n *Node) judge(r *Router) {
--- a/router/trouble_test.go
+++ b/router/trouble_test.go
@@ -1,7 +1,9 @@
 package router
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"testing"
 )
 
@@ -61,6 +63,90 @@
 	}
 }
 
+// few plays downloads one every 150 ms, a few a second as gateways of a large fleet have them.
+func (g *rig) few(seconds int, how func(Pull) (Status, Note, float64)) (throttled int, by map[string]int) {
+	by = map[string]int{}
+	for i := range seconds * 1000 / 150 {
+		a := video(fmt.Sprint("few ", g.now))
+		a.Object, a.Expiry, a.Size = fmt.Sprint("f", i%40), g.now+3000, 200
+		for e, next := Event(a), g.now+150; ; {
+			for _, act := range g.r.Handle(g.now, e) {
+				switch act := act.(type) {
+				case Alarm:
+					g.bells = append(g.bells, act)
+				case Throttle:
+					throttled++
+				case Probe:
+					g.out = append(g.out, reply{g.now + 400, Probed{Node: act.Node, Status: NotConnected}})
+				case Pull:
+					by[act.Source]++
+					status, note, took := how(act)
+					g.out = append(g.out, reply{g.now + took, Ended{ID: act.ID, Pull: g.pulls[act.ID], Status: status,
+						Note: note, Took: took, Closed: status == Fulfilled}})
+					g.pulls[act.ID]++
+				}
+			}
+			slices.SortStableFunc(g.out, func(a, b reply) int { return cmp.Compare(a.due, b.due) })
+			slices.SortStableFunc(g.bells, func(a, b Alarm) int { return cmp.Compare(a.At, b.At) })
+			if len(g.out) > 0 && g.out[0].due <= next && (len(g.bells) == 0 || g.out[0].due <= g.bells[0].At) {
+				g.now, e, g.out = max(g.now, g.out[0].due), g.out[0].event, g.out[1:]
+			} else if len(g.bells) > 0 && g.bells[0].At <= next {
+				g.now, e, g.bells = max(g.now, g.bells[0].At), Rang{Token: g.bells[0].Token}, g.bells[1:]
+			} else {
+				g.now = next
+				break
+			}
+		}
+	}
+	return throttled, by
+}
+
+// A parent that can't be reached is told by the edge cache as full, after the time that a connection may take. With few
+// downloads a second it is set aside after two of these, and the lane of all fills is not cut for it: the others
+// answer. Before, such fills shut out those by healthy parents.
+func TestSourceOutOfReach(t *testing.T) {
+	g := newRig()
+	g.few(4, well)
+	throttled, by := g.few(6, func(p Pull) (Status, Note, float64) {
+		if p.Source == "p1" {
+			return TurnedAway, NotTold, 401
+		}
+		return well(p)
+	})
+	fills, _ := g.r.Lanes()
+	if throttled > 0 || by["p1"] > 4 || by["p2"] < 30 || fills.Most < 1e8 {
+		t.Errorf("%d throttled, fills by %v, lane of fills at most %.1f", throttled, by, fills.Most)
+	}
+	// What is turned away at once is a matter of places, and cuts the lane as before.
+	g = newRig()
+	g.few(4, well)
+	g.few(6, func(p Pull) (Status, Note, float64) { return TurnedAway, NotTold, 5 })
+	if fills, _ := g.r.Lanes(); fills.Most > 10 {
+		t.Errorf("fills are turned away at once, and their lane is at most %.1f", fills.Most)
+	}
+}
+
+// Once a cut lane is calm, as many answers in time as it is judged by double it, where these are few: with a tenth of a
+// pull for each it stayed shut for ten seconds after a trouble. While answers are late, or many, it grows as before.
+func TestCalmLaneOpens(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		every       float64 // ms between answers
+		late        int     // one in so many; 0: none
+		least, most float64
+	}{{"few answers", 400, 0, 1.2, 3}, {"few, one in five late", 400, 5, 0.3, 0.9}, {"many answers", 20, 0, 8, 16}} {
+		r, l := started(foot()), newLane()
+		r.peers, l.most, l.cut, l.out = 30, 0.4, 1e9, 100
+		for i := 1; r.now < 2000; i++ {
+			r.now += c.every
+			l.judge(r, c.late > 0 && i%c.late == 1)
+		}
+		if l.most < c.least || l.most > c.most {
+			t.Errorf("%s: from 0.4 to %.1f within 2 s", c.name, l.most)
+		}
+	}
+}
+
 // What a list no longer names is gone, and what a stale one brings back is used again.
 func TestListInFull(t *testing.T) {
 	g := newRig()
