--- a/deploy/poppymill.hcl
+++ b/deploy/poppymill.hcl
@@ -49,3 +49,25 @@
 #     is = 2
 #   }
 # }
+
+# Gateways that agree on who is there and on one log. Off unless this block stands here: docs/operate/quorum.md. Peers speak plain
+# frames: listen on an address that only gateways reach.
+#
+# quorum {
+#   listen    = "127.0.0.1:7101"
+#   address   = "127.0.0.1:7101"          # where peers are told to reach this gateway; without it, what listen says
+#   store     = "/var/lib/poppymill/g1"   # without one this gateway follows and never votes
+#   founders  = ["g1", "g2", "g3"]        # that vote at first: 1, 3, 5 or 7
+#   beat      = "100ms"
+#   election  = "1s"                      # at least five beats
+#   lease     = "3s"                      # at least two elections
+#   slow_disk = "500ms"
+#   keep      = 2000                      # entries kept for those that lag
+#   members   = 600                       # names remembered
+#   peer "g2" {
+#     address = "127.0.0.1:7102"
+#   }
+#   peer "g3" {
+#     address = "127.0.0.1:7103"
+#   }
+# }
--- /dev/null
+++ b/example/quorum/g2.hcl
@@ -0,0 +1,12 @@
+# One of three gateways that agree, on one machine: see README.
+quorum {
+  listen   = "127.0.0.1:7102"
+  store    = "bin/store-2"
+  founders = ["g1", "g2", "g3"]
+  peer "g1" {
+    address = "127.0.0.1:7101"
+  }
+  peer "g3" {
+    address = "127.0.0.1:7103"
+  }
+}
--- /dev/null
+++ b/internal/gateway/council.go
@@ -0,0 +1,49 @@
+package gateway
+
+import (
+	"context"
+
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"poppymill/internal/footprint"
+	"poppymill/internal/quorum/drive"
+)
+
+// council is this gateway's part in what the fleet agrees on, where the operator wants one. It has a loop of its own: the one
+// that serves downloads neither waits for it nor needs it.
+type council struct {
+	council *drive.Council // nil: off
+	log     logrus.FieldLogger
+	end     context.CancelFunc
+}
+
+func newCouncil(b drive.Block, c *footprint.Config, log logrus.FieldLogger) (*council, error) {
+	k := &council{log: log, end: func() {}}
+	if !b.On {
+		return k, nil
+	}
+	zone, _ := c.Footprint["zone"].(string)
+	var err error
+	k.council, err = drive.Open(b, c.Name, zone, nil, log, nil)
+	return k, err
+}
+
+// run plays the part until leave.
+func (k *council) run(g *errgroup.Group) {
+	if k.council == nil {
+		return
+	}
+	ctx, end := context.WithCancel(context.Background())
+	k.end = end
+	k.log.WithField("peers", k.council.Address()).Info("quorum: takes part")
+	g.Go(func() error {
+		if err := k.council.Run(ctx); err != nil {
+			k.log.WithError(err).Error("quorum: its store was not closed")
+		}
+		return nil
+	})
+}
+
+// leave says goodbye to the others; downloads that are open go on.
+func (k *council) leave() { k.end() }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -104,6 +104,11 @@
 		listener.Close()
 		return err
 	}
+	fleet, err := newCouncil(s.Operator.Quorum, c, log)
+	if err != nil {
+		listener.Close()
+		return err
+	}
 	server := &clients.Server{Pool: buffers, Reads: reads, Handler: p, Now: clock.now, Most: budget.Clients, Keep: append(s.Operator.Links.Params(), s.Operator.Fair.Params()...)}
 	troubles := &scarce{log: log}
 	follower := &channel.Follower{Address: c.Channel, Cursor: c.Cursor,
@@ -119,11 +124,13 @@
 	g.Go(func() error { reload.run(following); return nil })
 	g.Go(func() error { return server.Serve(following, listener) })
 	guard.run(following, &g, reload)
+	fleet.run(&g)
 	l := &loop{core: core, pool: pool, poster: p, clock: clock, log: log, buffers: buffers, reads: reads, server: server,
-		listener: listener, reload: reload, counted: clock.now()}
+		listener: listener, reload: reload, fleet: fleet, counted: clock.now()}
 	log.WithFields(logrus.Fields{"name": c.Name, "listen": c.Listen, "nodes": len(core.addresses)}).Info("ready")
 	l.run(ctx)
 	core.End(clock.now())
+	fleet.leave()
 	unfollow()
 	pool.Close()
 	ended := make(chan error, 1)
@@ -159,6 +166,7 @@
 	server   *clients.Server
 	listener net.Listener
 	reload   *reloader
+	fleet    *council
 	watched  float64
 	tidied   float64
 	counted  float64
@@ -218,6 +226,7 @@
 			l.log.Info("ending")
 			stop = nil
 			l.core.Leave()
+			l.fleet.leave()
 			shut, end = time.After(comeFor), time.After(AnswerBy(l.core.config))
 		case <-shut:
 			shut = nil
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -3,13 +3,15 @@
 import (
 	"poppymill/internal/links/drive"
 	"poppymill/internal/operator"
+	agreement "poppymill/internal/quorum/drive"
 )
 
 // Settings are all that an operator's file may say of a gateway. The zero value is a gateway without one.
 type Settings struct {
-	Log   operator.Log
-	Links drive.Block
-	Fair  Fairness
+	Log    operator.Log
+	Links  drive.Block
+	Fair   Fairness
+	Quorum agreement.Block
 }
 
 // LoadSettings reads an operator's file; no path is no file, and settings that change nothing.
@@ -23,7 +25,7 @@
 		return nil, err
 	}
 	if err := operator.Parse(text, path, operator.One("log", s.Log.Fields), operator.One("links", s.Links.Fields),
-		operator.One("fair", s.Fair.Fields)); err != nil {
+		operator.One("fair", s.Fair.Fields), operator.One("quorum", s.Quorum.Fields)); err != nil {
 		return nil, err
 	}
 	return s, nil
--- /dev/null
+++ b/internal/quorum/door.go
@@ -0,0 +1,152 @@
+// Package quorum lets gateways agree: who is there, and on one log of commands in one order. The agreement itself is raft's
+// (go.etcd.io/raft/v3, which does no I/O); this package adds what raft leaves to its caller: founding, members and their
+// leases, followers, commands that count once, bounds. It is pure: events come in with their time, actions go out; there is no
+// goroutine, socket, file or clock in it, and chance comes from a seed.
+//
+// This file is its interface. Times are milliseconds on a clock of the caller's that never goes back; they bound only how long
+// work stands still. What is agreed rests on majorities and on what was synced, never on a time.
+package quorum
+
+import "go.etcd.io/raft/v3/raftpb"
+
+// Settings of one gateway's part.
+type Settings struct {
+	Name     string            // of this gateway; unique in the fleet
+	Zone     string            // its club
+	Address  string            // where its peers reach it
+	Peers    map[string]string // addresses of the others that are known from the start, by name
+	Founders []string          // names of those that vote at first; all of them must be there, with empty stores, to found
+	Beat     float64           // ms between a leader's heartbeats
+	Election float64           // ms of silence after which voters look for another leader; at least five beats
+	Lease    float64           // ms without renewal after which a member is said to be silent
+	SlowDisk float64           // ms that one sync may take; a leader whose disk is slower hands over
+	Keep     int               // entries kept for those that lag, beyond what all voters have
+	Members  int               // names that are remembered at most
+	Pending  int               // commands of this gateway that wait to be agreed at most
+	Retry    float64           // ms after which a command that was not agreed is sent again
+	Seed     uint64
+	Diskless bool // it has no store, and only follows
+}
+
+// Defaults are settings for a site on a local network.
+func Defaults() Settings {
+	return Settings{Beat: 100, Election: 1000, Lease: 3000, SlowDisk: 500, Keep: 2000, Members: 600, Pending: 256, Retry: 700}
+}
+
+// Store is what a gateway keeps on its disk. The zero value is an empty store.
+type Store struct {
+	Identity Identity
+	Founding *Founding // nil: it belongs to no fleet yet
+	Hard     *raftpb.HardState
+	Snapshot *raftpb.Snapshot
+	Entries  []*raftpb.Entry // after the snapshot, without a gap
+}
+
+// Identity is who a store belongs to. A store that is lost takes its identity with it: what starts without one is somebody
+// else, and never votes as the old one.
+type Identity struct {
+	ID   uint64 `cbor:"1,keyasint"` // drawn when the store was made; 0: none yet
+	Name string `cbor:"2,keyasint"`
+}
+
+// Founding is how a fleet began: once, by the founder whose name comes first, when all founders said that they had nothing.
+type Founding struct {
+	Cluster uint64            `cbor:"1,keyasint"`
+	Voters  map[string]uint64 `cbor:"2,keyasint"` // identities by name
+}
+
+// Events, which a driver hands to Node.Handle.
+type (
+	// Received is one frame of a peer, by the name that it gave.
+	Received struct {
+		From  string
+		Frame Frame
+	}
+	// Lost tells that what was sent to a peer of late did not arrive.
+	Lost struct{ To string }
+	// Saved tells that the last Save is on the disk, and how long that took.
+	Saved struct{ Took float64 }
+	// Broken tells that the disk could not take it: this gateway votes no more until it is started anew.
+	Broken struct{ Err error }
+	// Propose asks for a command to be agreed. Token comes back with its Outcome; one that is over 0 and still open is an error.
+	Propose struct {
+		Token   uint64
+		Command Command
+	}
+	// Leave says goodbye: this process is about to end.
+	Leave struct{}
+)
+
+// Action is one of the types below that says so.
+type Action any
+
+// Actions, which the driver carries out in their order. What follows a Save waits for its Saved.
+type (
+	// Send brings a frame to a peer; it may be lost.
+	Send struct {
+		To    string
+		Frame Frame
+	}
+	// Save puts this on the disk and syncs it. Nothing else is handed over until it is Saved.
+	Save struct{ Record Record }
+	// Agreed is a command in its place in the log, after its book took it. The same comes to every gateway.
+	Agreed struct {
+		Index   uint64
+		Command Command
+		Result  any
+	}
+	// Outcome ends a Propose: agreed at that place, or given up with an error. After an error it may still be agreed.
+	Outcome struct {
+		Token uint64
+		Index uint64
+		Err   error
+	}
+	// Say is a line for people.
+	Say struct {
+		Text   string
+		Fields map[string]any
+	}
+)
+
+// Record is one write to the disk, whole or not at all.
+type Record struct {
+	Identity *Identity
+	Founding *Founding
+	Hard     *raftpb.HardState
+	Snapshot *raftpb.Snapshot
+	Entries  []*raftpb.Entry // take the place of all from their first index on
+	Compact  uint64          // entries up to here, and older snapshots, may go
+}
+
+// Command is what is agreed on. Book says whom it is for; this package's own is "members".
+type Command struct {
+	Book string `cbor:"1,keyasint"`
+	Kind string `cbor:"2,keyasint"`
+	Data []byte `cbor:"3,keyasint,omitempty"`
+	// Who asked, by incarnation, and the how-manieth this is of it: one that comes twice counts once.
+	From uint64 `cbor:"4,keyasint,omitempty"`
+	Seq  uint64 `cbor:"5,keyasint,omitempty"`
+}
+
+// Book is a state that commands change, the same at every gateway. It must be a function of the commands alone.
+type Book interface {
+	Apply(index uint64, c Command) any
+	Save() []byte
+	Load([]byte) error
+}
+
+// Standing is how a member stands, as the log says.
+type Standing int
+
+// The standings.
+const (
+	Unknown  Standing = iota // never heard of
+	Joined                   // it is there
+	Left                     // it said goodbye
+	Silent                   // its lease ran out
+	Replaced                 // a newer process of its name has joined
+)
+
+func (s Standing) String() string {
+	return [...]string{"unknown", "joined", "left", "silent", "replaced"}[s]
+}
--- /dev/null
+++ b/internal/quorum/drive/peers.go
@@ -0,0 +1,211 @@
+package drive
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"poppymill/internal/quorum"
+)
+
+// Bounds of what goes between two peers. Raft sends again what is lost, so a full queue costs time and nothing else.
+const (
+	queueMost   = 256
+	writeWithin = 2 * time.Second
+	dialWithin  = time.Second
+	silentFor   = 20 * time.Second // a connection on which nothing came is closed
+	redialAfter = 100 * time.Millisecond
+	connsMost   = 700
+)
+
+// peers are the connections with other gateways. A connection's first frame names who opened it; frames then go both ways.
+type peers struct {
+	name     string
+	listener net.Listener
+	address  func(name string) string
+	received func(from string, f quorum.Frame, answer func(quorum.Frame))
+	lost     func(to string)
+	mu       sync.Mutex
+	links    map[string]*link
+	dialled  map[string]time.Time
+	conns    map[net.Conn]bool
+	live     sync.WaitGroup
+	ctx      context.Context
+	stop     context.CancelFunc
+}
+
+// link is one connection with a peer.
+type link struct {
+	nc    net.Conn
+	queue chan []byte
+}
+
+func newPeers(name string, l net.Listener) *peers {
+	p := &peers{name: name, listener: l, links: map[string]*link{}, dialled: map[string]time.Time{}, conns: map[net.Conn]bool{}}
+	p.ctx, p.stop = context.WithCancel(context.Background())
+	return p
+}
+
+// serve accepts until close.
+func (p *peers) serve() {
+	p.spawn(func() {
+		for {
+			nc, err := p.listener.Accept()
+			if errors.Is(err, net.ErrClosed) {
+				return
+			}
+			if err != nil {
+				select {
+				case <-time.After(10 * time.Millisecond): // a shortage of descriptors passes
+					continue
+				case <-p.ctx.Done():
+					return
+				}
+			}
+			p.run(nc, "")
+		}
+	})
+}
+
+func (p *peers) spawn(do func()) {
+	p.live.Add(1)
+	go func() {
+		defer p.live.Done()
+		do()
+	}()
+}
+
+// run reads and writes a connection until it ends; its name is known from the start where this side opened it.
+func (p *peers) run(nc net.Conn, name string) {
+	l := &link{nc: nc, queue: make(chan []byte, queueMost)}
+	p.mu.Lock()
+	if p.ctx.Err() != nil || len(p.conns) >= connsMost {
+		p.mu.Unlock()
+		nc.Close()
+		return
+	}
+	p.conns[nc] = true
+	if name != "" {
+		p.links[name] = l
+	}
+	p.mu.Unlock()
+	if name != "" {
+		l.queue <- quorum.Frame{Kind: quorum.Hello, Data: []byte(p.name)}.Append(nil)
+	}
+	ended := make(chan bool)
+	p.spawn(func() {
+		for {
+			select {
+			case b := <-l.queue:
+				nc.SetWriteDeadline(time.Now().Add(writeWithin))
+				if _, err := nc.Write(b); err != nil {
+					nc.Close()
+					return
+				}
+			case <-ended:
+				return
+			}
+		}
+	})
+	p.spawn(func() {
+		name := name
+		r := bufio.NewReader(nc)
+		for {
+			nc.SetReadDeadline(time.Now().Add(silentFor))
+			f, err := read(r)
+			if err != nil {
+				break
+			}
+			if name == "" {
+				if f.Kind != quorum.Hello || len(f.Data) == 0 || len(f.Data) > 100 {
+					break
+				}
+				name = string(f.Data)
+				p.mu.Lock()
+				p.links[name] = l
+				p.mu.Unlock()
+				continue
+			}
+			p.received(name, f, func(f quorum.Frame) { l.post(f) })
+		}
+		close(ended)
+		nc.Close()
+		p.mu.Lock()
+		delete(p.conns, nc)
+		if p.links[name] == l {
+			delete(p.links, name)
+		}
+		p.mu.Unlock()
+		if name != "" {
+			p.lost(name)
+		}
+	})
+}
+
+func (l *link) post(f quorum.Frame) bool {
+	select {
+	case l.queue <- f.Append(nil):
+		return true
+	default:
+		return false
+	}
+}
+
+func read(r io.Reader) (f quorum.Frame, err error) {
+	var head [quorum.FrameHead]byte
+	if _, err = io.ReadFull(r, head[:]); err != nil {
+		return f, err
+	}
+	n, err := quorum.Length(head)
+	if err != nil {
+		return f, err
+	}
+	content := make([]byte, n)
+	if _, err = io.ReadFull(r, content); err != nil {
+		return f, err
+	}
+	return quorum.Read(head, content)
+}
+
+// send puts a frame in a peer's queue, or opens a connection to it and lets go of the frame: whoever sent it sends again.
+func (p *peers) send(to string, f quorum.Frame) {
+	p.mu.Lock()
+	l := p.links[to]
+	if l == nil {
+		address := p.address(to)
+		if address == "" || time.Since(p.dialled[to]) < redialAfter || p.ctx.Err() != nil {
+			p.mu.Unlock()
+			return
+		}
+		p.dialled[to] = time.Now()
+		p.mu.Unlock()
+		p.spawn(func() {
+			ctx, cancel := context.WithTimeout(p.ctx, dialWithin)
+			defer cancel()
+			nc, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+			if err != nil {
+				p.lost(to)
+				return
+			}
+			p.run(nc, to)
+		})
+		return
+	}
+	p.mu.Unlock()
+	l.post(f)
+}
+
+func (p *peers) close() {
+	p.stop()
+	p.listener.Close()
+	p.mu.Lock()
+	for nc := range p.conns {
+		nc.Close()
+	}
+	p.mu.Unlock()
+	p.live.Wait()
+}
--- /dev/null
+++ b/internal/quorum/members.go
@@ -0,0 +1,179 @@
+package quorum
+
+import (
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+)
+
+// Member is one name of the fleet, as the log tells of it.
+type Member struct {
+	Name        string   `cbor:"1,keyasint"`
+	Zone        string   `cbor:"2,keyasint"`
+	Address     string   `cbor:"3,keyasint"`
+	Incarnation uint64   `cbor:"4,keyasint"` // of its newest process; each start is a new one, and they only rise
+	Nonce       uint64   `cbor:"5,keyasint"` // drawn by that process, so that a join that comes twice counts once
+	Identity    uint64   `cbor:"6,keyasint"` // of its store; 0: it has none, and can't vote
+	Standing    Standing `cbor:"7,keyasint"`
+	Since       uint64   `cbor:"8,keyasint"`  // the place in the log from which it stands so
+	Losses      uint64   `cbor:"9,keyasint"`  // how often its lease ran out, or it was replaced without a goodbye
+	Doubled     uint64   `cbor:"10,keyasint"` // the newest of its older processes that was heard of after it was replaced
+	Seq         uint64   `cbor:"11,keyasint"` // the last of its commands that counted
+}
+
+// What the book of members hears.
+const (
+	membersBook = "members"
+	nothing     = "nothing"
+	joins       = "join"    // Member: name, zone, address, nonce, identity
+	leaves      = "leave"   // incarnation
+	silent      = "silent"  // incarnation
+	returns     = "return"  // incarnation
+	doubled     = "doubled" // Member: name, and the incarnation of the older process that was heard of
+)
+
+// Errors of commands that were agreed and change nothing. They are results, the same at every gateway.
+var (
+	ErrReplaced = errors.New("a newer process of that name has joined")
+	ErrRepeated = errors.New("it counted before")
+	ErrEarly    = errors.New("an earlier one of that process has not come yet")
+	ErrFull     = errors.New("no room for another name")
+	ErrUnknown  = errors.New("unknown")
+)
+
+// Members is the state that this package itself keeps in the log.
+type Members struct {
+	Most  int                `cbor:"-"`
+	Last  uint64             `cbor:"1,keyasint"` // the last incarnation given out; it only rises
+	Names map[string]*Member `cbor:"2,keyasint"`
+}
+
+func newMembers(most int) *Members { return &Members{Most: most, Names: map[string]*Member{}} }
+
+// By finds the member whose newest process an incarnation is.
+func (m *Members) By(incarnation uint64) *Member {
+	for _, x := range m.Names {
+		if x.Incarnation == incarnation {
+			return x
+		}
+	}
+	return nil
+}
+
+// All lists the members by name.
+func (m *Members) All() []*Member {
+	var all []*Member
+	for _, name := range slices.Sorted(maps.Keys(m.Names)) {
+		all = append(all, m.Names[name])
+	}
+	return all
+}
+
+// counts tells whether a command of a member counts: those of a process that was replaced, or that come again, do not.
+func (m *Members) counts(c Command) error {
+	if c.From == 0 {
+		return nil
+	}
+	x := m.By(c.From)
+	if x == nil {
+		return ErrReplaced
+	}
+	if c.Seq <= x.Seq {
+		return ErrRepeated
+	} else if c.Seq != x.Seq+1 {
+		return ErrEarly
+	}
+	x.Seq = c.Seq
+	return nil
+}
+
+// Apply takes a command of this book.
+func (m *Members) Apply(index uint64, c Command) any {
+	if c.Kind == joins || c.Kind == doubled {
+		var j Member
+		if decode(c.Data, &j) != nil {
+			return ErrUnknown
+		}
+		if c.Kind == joins {
+			return m.join(index, j)
+		}
+		x := m.Names[j.Name]
+		if x == nil || j.Incarnation >= x.Incarnation || j.Incarnation <= x.Doubled {
+			return ErrRepeated
+		}
+		x.Doubled = j.Incarnation
+		return *x
+	}
+	var incarnation uint64
+	if decode(c.Data, &incarnation) != nil {
+		return ErrUnknown
+	}
+	x := m.By(incarnation)
+	if x == nil {
+		return ErrReplaced
+	}
+	to := map[string]Standing{leaves: Left, silent: Silent, returns: Joined}[c.Kind]
+	// Who has said goodbye does not come back under the same incarnation, whatever is late on its way.
+	if to == Unknown || x.Standing == to || x.Standing == Left || c.Kind == silent && x.Standing != Joined {
+		return ErrRepeated
+	}
+	if c.Kind == silent {
+		x.Losses++
+	}
+	x.Standing, x.Since = to, index
+	return *x
+}
+
+func (m *Members) join(index uint64, j Member) any {
+	x := m.Names[j.Name]
+	if x == nil {
+		if !m.room() {
+			return ErrFull
+		}
+		x = &Member{Name: j.Name}
+		m.Names[j.Name] = x
+	} else if x.Nonce == j.Nonce {
+		return *x
+	} else if x.Standing == Joined {
+		x.Losses++
+	}
+	m.Last++
+	x.Zone, x.Address, x.Identity, x.Nonce = j.Zone, j.Address, j.Identity, j.Nonce
+	x.Incarnation, x.Standing, x.Since, x.Seq = m.Last, Joined, index, 0
+	return *x
+}
+
+// room makes a place for a new name, at the cost of the one that has been gone for longest.
+func (m *Members) room() bool {
+	if len(m.Names) < m.Most {
+		return true
+	}
+	var old *Member
+	for _, x := range m.All() {
+		if x.Standing != Joined && (old == nil || x.Since < old.Since) {
+			old = x
+		}
+	}
+	if old == nil {
+		return false
+	}
+	delete(m.Names, old.Name)
+	return true
+}
+
+// Save and Load write the state down and read it.
+func (m *Members) Save() []byte { return encode(m) }
+
+// Load takes the place of all that was there.
+func (m *Members) Load(b []byte) error {
+	n := newMembers(m.Most)
+	if err := decode(b, n); err != nil {
+		return err
+	}
+	if n.Names == nil || len(n.Names) > 1<<13 {
+		return fmt.Errorf("%w: %d members", ErrFrame, len(n.Names))
+	}
+	*m = *n
+	return nil
+}
--- /dev/null
+++ b/internal/quorum/node.go
@@ -0,0 +1,566 @@
+package quorum
+
+import (
+	"errors"
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+
+	"go.etcd.io/raft/v3"
+	"go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/protobuf/proto"
+
+	"poppymill/internal/chance"
+)
+
+// Node is one gateway's part in the agreement. It belongs to one goroutine.
+type Node struct {
+	set     Settings
+	now     float64
+	chance  chance.Chance
+	nonce   uint64 // of this process
+	id      Identity
+	founded *Founding
+	raft    *raft.RawNode // nil where this gateway only follows
+	log     *raft.MemoryStorage
+	conf    *raftpb.ConfState
+	members *Members
+	books   map[string]Book
+	applied uint64
+	inc     uint64 // this process's incarnation; 0: not agreed yet
+	seq     uint64
+	joining float64 // when its join goes out again
+	open    []*proposal
+	out     []Action
+	saving  func() // what goes on once the disk has it; nil: nothing is on its way there
+	after   []func()
+	dead    bool // its disk failed: it votes no more
+	slow    bool // its disk was too slow: it does not lead
+	yielded bool // a newer process of this name is there
+	gone    bool // it has said goodbye
+	leader  string
+	beatAt  float64
+	voteAt  float64 // when it looks for another leader itself
+	heard   float64 // when it last heard of one
+	forgot  bool    // that it did not hear of one for long
+	renewAt float64
+	host    string // the voter that it follows
+	hosted  float64
+	hosts   int
+	fresh   map[string]hello   // founders that said they have nothing
+	renewed map[uint64]float64 // when each was last heard of; the leader's
+	gather  map[uint64]Renewal // on their way to the leader
+	said    map[uint64]float64 // commands of the leader's own on their way, by incarnation and kind
+}
+
+type hello struct {
+	id uint64
+	at float64
+}
+
+type proposal struct {
+	token    uint64
+	c        Command
+	sent, by float64
+}
+
+// late is when it is given up; what was given up waits without an end.
+func (p *proposal) late() float64 {
+	if p.token == 0 {
+		return math.Inf(1)
+	}
+	return p.by
+}
+
+// ErrGivenUp and the others are outcomes of what was not agreed.
+var (
+	ErrGivenUp = errors.New("not agreed in time; it may still be")
+	ErrBusy    = errors.New("too many commands wait to be agreed")
+	ErrYielded = errors.New("a newer process of this name is there")
+)
+
+// giveUp is the ms after which a command that could not be agreed is told as such.
+const giveUp = 15_000.0
+
+// initial is the place in the log at which every fleet begins, the same at all founders.
+const initial = 1
+
+// New makes a node of what its store holds. Nonce is drawn anew for each process.
+func New(set Settings, store Store, books map[string]Book, nonce uint64, now float64) (*Node, error) {
+	n := &Node{set: set, now: now, chance: chance.Chance((set.Seed^nonce)>>1 | 1), nonce: nonce, id: store.Identity, founded: store.Founding,
+		members: newMembers(set.Members), books: books, fresh: map[string]hello{}, renewed: map[uint64]float64{},
+		gather: map[uint64]Renewal{}, said: map[uint64]float64{}, renewAt: now, joining: now}
+	n.chance.Next()
+	if n.id.ID == 0 {
+		n.id = Identity{ID: uint64(n.chance.Next())<<31 | uint64(n.chance.Next())>>1 | 1, Name: set.Name}
+		n.save(Record{Identity: &n.id}, nil)
+	} else if n.id.Name != set.Name {
+		return nil, fmt.Errorf("the store is that of %q", n.id.Name)
+	}
+	if store.Snapshot != nil {
+		if err := n.begin(store); err != nil {
+			return nil, err
+		}
+	}
+	return n, nil
+}
+
+// begin starts raft from what the store holds.
+func (n *Node) begin(store Store) error {
+	n.log = raft.NewMemoryStorage()
+	if s := store.Snapshot; s != nil && s.GetMetadata().GetIndex() > 0 {
+		if err := n.log.ApplySnapshot(s); err != nil {
+			return fmt.Errorf("store: snapshot: %w", err)
+		}
+		if err := n.restore(s.GetData(), s.GetMetadata().GetIndex()); err != nil {
+			return fmt.Errorf("store: snapshot: %w", err)
+		}
+		n.conf = s.GetMetadata().GetConfState()
+	}
+	if store.Hard != nil {
+		n.log.SetHardState(store.Hard)
+	}
+	if err := n.log.Append(store.Entries); err != nil {
+		return fmt.Errorf("store: entries: %w", err)
+	}
+	r, err := raft.NewRawNode(&raft.Config{ID: n.id.ID, ElectionTick: max(5, int(n.set.Election/n.set.Beat)), HeartbeatTick: 1,
+		Storage: n.log, Applied: n.applied, MaxSizePerMsg: 256 << 10, MaxCommittedSizePerReady: 1 << 20,
+		MaxUncommittedEntriesSize: 4 << 20, MaxInflightMsgs: 64, CheckQuorum: true, PreVote: true,
+		DisableProposalForwarding: true, StepDownOnRemoval: true, Logger: quiet{}})
+	if err != nil {
+		return fmt.Errorf("raft: %w", err)
+	}
+	n.raft = r
+	n.postpone()
+	return nil
+}
+
+func (n *Node) restore(data []byte, index uint64) error {
+	var s saved
+	if err := decode(data, &s); err != nil {
+		return err
+	}
+	if err := n.members.Load(s.Members); err != nil {
+		return err
+	}
+	for name, b := range n.books {
+		if text, ok := s.Books[name]; ok {
+			if err := b.Load(text); err != nil {
+				return fmt.Errorf("book %s: %w", name, err)
+			}
+		}
+	}
+	n.applied = index
+	return nil
+}
+
+// saved is all state that commands have brought about.
+type saved struct {
+	Members []byte            `cbor:"1,keyasint"`
+	Books   map[string][]byte `cbor:"2,keyasint"`
+}
+
+func (n *Node) state() []byte {
+	s := saved{Members: n.members.Save(), Books: map[string][]byte{}}
+	for name, b := range n.books {
+		s.Books[name] = b.Save()
+	}
+	return encode(s)
+}
+
+// Handle takes one event; nil only lets time pass.
+func (n *Node) Handle(now float64, e any) []Action {
+	n.now = max(n.now, now)
+	switch e := e.(type) {
+	case Received:
+		n.received(e.From, e.Frame)
+	case Lost:
+		if id := n.voter(e.To); n.raft != nil && id != 0 {
+			n.raft.ReportUnreachable(id)
+			n.raft.ReportSnapshot(id, raft.SnapshotFailure)
+		}
+		if e.To == n.host {
+			n.host = ""
+		}
+	case Saved:
+		n.saved(e.Took)
+	case Broken:
+		n.dead, n.saving, n.raft, n.after = true, nil, nil, nil
+		n.say("this gateway's store can't be written: it votes no more until it is started anew", "error", e.Err)
+	case Propose:
+		n.propose(e)
+	case Leave:
+		n.leave()
+	}
+	n.ring()
+	n.settle()
+	out := n.out
+	n.out = nil
+	return out
+}
+
+// Next is when something is due next.
+func (n *Node) Next() float64 {
+	due := min(n.renewAt, n.joining)
+	if n.raft != nil && n.saving == nil {
+		if n.leads() {
+			due = min(due, n.beatAt)
+		} else if due = min(due, n.voteAt); !n.forgot {
+			due = min(due, n.heard+n.set.Election)
+		}
+	}
+	for _, p := range n.open {
+		if n.inc != 0 && (n.saving == nil || !n.leads()) {
+			due = min(due, p.sent+n.set.Retry)
+		}
+		due = min(due, p.late())
+	}
+	return max(due, n.now)
+}
+
+func (n *Node) do(a Action) { n.out = append(n.out, a) }
+func (n *Node) say(text string, fields ...any) {
+	f := map[string]any{}
+	for i := 0; i+1 < len(fields); i += 2 {
+		f[fields[i].(string)] = fields[i+1]
+	}
+	n.do(Say{Text: text, Fields: f})
+}
+
+func (n *Node) send(to string, f Frame) {
+	if to == "" || to == n.set.Name {
+		return
+	}
+	f.ID = n.id.ID
+	if n.founded != nil {
+		f.Cluster = n.founded.Cluster
+	}
+	n.do(Send{To: to, Frame: f})
+}
+
+// save hands something to the disk; then goes on once it is there.
+func (n *Node) save(r Record, then func()) {
+	if then == nil {
+		then = func() {}
+	}
+	if n.saving != nil {
+		n.after = append(n.after, func() { n.save(r, then) })
+		return
+	}
+	n.saving = then
+	n.do(Save{Record: r})
+}
+
+func (n *Node) saved(took float64) {
+	if n.saving == nil {
+		return
+	}
+	if slow := took > n.set.SlowDisk; slow != n.slow {
+		n.slow = slow
+		if slow {
+			n.say("this gateway's disk is too slow to lead", "took_ms", math.Round(took), "most_ms", n.set.SlowDisk)
+			n.handOver()
+		}
+	}
+	then := n.saving
+	n.saving = nil
+	then()
+	for n.saving == nil && len(n.after) > 0 {
+		next := n.after[0]
+		n.after = n.after[1:]
+		next()
+	}
+}
+
+// handOver gives the lead to the voter that has most of the log.
+func (n *Node) handOver() {
+	if !n.leads() {
+		return
+	}
+	best, match := uint64(0), uint64(0)
+	all := n.raft.Status().Progress
+	for _, id := range slices.Sorted(maps.Keys(all)) {
+		p := all[id]
+		if id != n.id.ID && !p.IsLearner && p.RecentActive && p.Match > match {
+			best, match = id, p.Match
+		}
+	}
+	if best != 0 {
+		n.raft.TransferLeader(best)
+	}
+}
+
+func (n *Node) leads() bool {
+	return n.raft != nil && n.raft.BasicStatus().RaftState == raft.StateLeader
+}
+
+// voter is the identity of a name that votes; 0: it does not.
+func (n *Node) voter(name string) uint64 {
+	all := n.voters()
+	for _, id := range slices.Sorted(maps.Keys(all)) {
+		if all[id] == name {
+			return id
+		}
+	}
+	return 0
+}
+
+// voters are those who vote, as this gateway knows it: identities with their names.
+func (n *Node) voters() map[uint64]string {
+	all := map[uint64]string{}
+	if n.founded != nil {
+		for name, id := range n.founded.Voters {
+			all[id] = name
+		}
+	}
+	for _, m := range n.members.Names {
+		if m.Identity != 0 {
+			all[m.Identity] = m.Name
+		}
+	}
+	if n.conf == nil {
+		return all
+	}
+	for id := range all {
+		if !slices.Contains(n.conf.Voters, id) && !slices.Contains(n.conf.VotersOutgoing, id) && !slices.Contains(n.conf.Learners, id) {
+			delete(all, id)
+		}
+	}
+	return all
+}
+
+// postpone puts off the look for another leader, as one was heard of.
+func (n *Node) postpone() {
+	n.heard, n.forgot = n.now, false
+	n.voteAt = n.now + n.set.Election*(1.1+n.chance.Below())
+}
+
+func (n *Node) ring() {
+	if n.raft != nil && n.saving == nil {
+		if n.leads() {
+			// A process that was frozen owes no more than what lets it find out that it leads no more.
+			for i := 0; n.now >= n.beatAt && n.leads(); i++ {
+				if n.beatAt += n.set.Beat; n.beatAt < n.now-2*n.set.Election {
+					n.beatAt = n.now
+				}
+				n.raft.Tick()
+			}
+			if n.leads() {
+				n.postpone()
+			}
+		} else {
+			if n.now >= n.heard+n.set.Election && !n.forgot {
+				// Only now does it let others look for a leader: before, it held to the one that it had heard of.
+				n.forgot = true
+				n.raft.ForgetLeader()
+			}
+			if n.now >= n.voteAt {
+				n.voteAt = n.now + n.set.Election*(0.5+n.chance.Below())
+				if !n.slow {
+					n.raft.Campaign()
+				}
+			}
+		}
+	}
+	if n.now >= n.renewAt {
+		n.renewAt = n.now + n.set.Lease/6
+		n.renew()
+	}
+	if n.now >= n.joining {
+		n.joining = n.now + n.set.Retry
+		n.join()
+	}
+	n.retry()
+}
+
+// settle carries what raft has to say to the disk, then to the others and into the books, until nothing is left.
+func (n *Node) settle() {
+	for n.raft != nil && n.saving == nil && n.raft.HasReady() {
+		r := n.raft.Ready()
+		if r.SoftState != nil {
+			n.leaderIs(r.SoftState.Lead)
+		}
+		rec := Record{Hard: r.HardState, Entries: r.Entries}
+		if r.Snapshot != nil && r.Snapshot.GetMetadata().GetIndex() > 0 {
+			rec.Snapshot = r.Snapshot
+		}
+		done := func() { n.ready(r, rec) }
+		if rec.Hard == nil && len(rec.Entries) == 0 && rec.Snapshot == nil {
+			done()
+			continue
+		}
+		n.save(rec, done)
+	}
+}
+
+func (n *Node) ready(r raft.Ready, rec Record) {
+	if n.raft == nil {
+		return
+	}
+	if rec.Snapshot != nil {
+		if err := n.log.ApplySnapshot(rec.Snapshot); err == nil {
+			if err := n.restore(rec.Snapshot.GetData(), rec.Snapshot.GetMetadata().GetIndex()); err != nil {
+				n.dead, n.raft = true, nil
+				n.say("a snapshot can't be read: this gateway votes no more until it is started anew", "error", err)
+				return
+			}
+			n.conf = rec.Snapshot.GetMetadata().GetConfState()
+		}
+	}
+	if rec.Hard != nil {
+		n.log.SetHardState(rec.Hard)
+	}
+	if err := n.log.Append(rec.Entries); err != nil {
+		n.dead, n.raft = true, nil
+		n.say("entries don't fit the log: this gateway votes no more until it is started anew", "error", err)
+		return
+	}
+	voters := n.voters()
+	for _, m := range r.Messages {
+		b, err := proto.Marshal(m)
+		if err != nil {
+			continue
+		}
+		n.send(voters[m.GetTo()], Frame{Kind: Raft, Data: b})
+		if m.GetType() == raftpb.MessageType_MsgSnap {
+			n.raft.ReportSnapshot(m.GetTo(), raft.SnapshotFinish)
+		}
+	}
+	for _, e := range r.CommittedEntries {
+		n.commit(e)
+	}
+	n.raft.Advance(r)
+	n.compact()
+}
+
+// commit takes one entry that is agreed.
+func (n *Node) commit(e *raftpb.Entry) {
+	switch e.GetType() {
+	case raftpb.EntryType_EntryConfChangeV2:
+		var c raftpb.ConfChangeV2
+		if proto.Unmarshal(e.Data, &c) == nil {
+			n.conf = n.raft.ApplyConfChange(&c)
+		}
+		n.applied = e.GetIndex()
+	case raftpb.EntryType_EntryConfChange:
+		var c raftpb.ConfChange
+		if proto.Unmarshal(e.Data, &c) == nil {
+			n.conf = n.raft.ApplyConfChange(&c)
+		}
+		n.applied = e.GetIndex()
+	default:
+		n.apply(e.GetIndex(), e.Data)
+	}
+}
+
+// apply takes one command in its place. What every gateway does here must be a function of the log alone.
+func (n *Node) apply(index uint64, data []byte) {
+	if index <= n.applied {
+		return
+	}
+	n.applied = index
+	if len(data) == 0 {
+		return
+	}
+	var c Command
+	if decode(data, &c) != nil {
+		return
+	}
+	var result any
+	if err := n.members.counts(c); err != nil {
+		result = err
+	} else if c.Book == membersBook {
+		result = n.members.Apply(index, c)
+		n.told(c, result)
+	} else if b := n.books[c.Book]; b != nil {
+		result = b.Apply(index, c)
+	} else {
+		result = ErrUnknown
+	}
+	n.do(Agreed{Index: index, Command: c, Result: result})
+	for i, p := range n.open {
+		if c.From == n.inc && c.Seq == p.c.Seq && c.From != 0 && result != ErrEarly {
+			n.open = slices.Delete(n.open, i, i+1)
+			if err, _ := result.(error); p.token != 0 {
+				n.do(Outcome{Token: p.token, Index: index, Err: err})
+			}
+			break
+		}
+	}
+}
+
+// told is what a member's change means here.
+func (n *Node) told(c Command, result any) {
+	m, ok := result.(Member)
+	if !ok {
+		return
+	}
+	n.say("member", "name", m.Name, "incarnation", m.Incarnation, "is", m.Standing.String(), "index", m.Since)
+	n.renewed[m.Incarnation] = n.now
+	if c.Kind == doubled {
+		n.say("a name is doubled: the older process is told to yield", "name", m.Name, "older", m.Doubled, "newer", m.Incarnation)
+	}
+	if m.Name != n.set.Name {
+		return
+	}
+	if m.Nonce == n.nonce && n.inc == 0 {
+		n.inc = m.Incarnation
+		for _, p := range n.open { // what was asked before this process had a name for itself
+			n.seq++
+			p.c.From, p.c.Seq, p.sent = n.inc, n.seq, math.Inf(-1)
+		}
+	} else if m.Incarnation > n.inc && n.inc != 0 {
+		n.yield()
+	}
+}
+
+func (n *Node) yield() {
+	if n.yielded {
+		return
+	}
+	n.yielded = true
+	n.say("a newer process of this name is there: this one asks for nothing more", "name", n.set.Name)
+	for _, p := range n.open {
+		if p.token != 0 {
+			n.do(Outcome{Token: p.token, Err: ErrYielded})
+		}
+	}
+	n.open = nil
+}
+
+// compact lets go of entries that nobody needs, once enough have come together.
+func (n *Node) compact() {
+	first, err := n.log.FirstIndex()
+	if n.set.Keep <= 0 || err != nil || n.applied < first+uint64(2*n.set.Keep) || n.conf == nil {
+		return
+	}
+	to := n.applied - uint64(n.set.Keep)
+	s, err := n.log.CreateSnapshot(n.applied, n.conf, n.state())
+	if err != nil || n.log.Compact(to) != nil {
+		return
+	}
+	n.save(Record{Snapshot: s, Compact: to}, nil)
+}
+
+func (n *Node) leaderIs(id uint64) {
+	name := n.voters()[id]
+	if id == n.id.ID && id != 0 {
+		name = n.set.Name
+		if n.leader != name {
+			// Nobody is lost for a change of leader: all have a whole lease from now on.
+			n.renewed, n.said = map[uint64]float64{}, map[uint64]float64{}
+			for _, m := range n.members.Names {
+				n.renewed[m.Incarnation] = n.now
+			}
+			n.beatAt = n.now
+			if n.slow {
+				n.handOver()
+			}
+		}
+	}
+	if name != n.leader {
+		n.leader = name
+		n.say("leader", "name", name, "term", n.raft.BasicStatus().GetTerm())
+	}
+}
--- /dev/null
+++ b/internal/quorum/quorum_test.go
@@ -0,0 +1,429 @@
+package quorum
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"testing"
+)
+
+// begun is a fleet that has founded, with all in it.
+func begun(t *testing.T, seed uint64, voters, followers int) *sim {
+	t.Helper()
+	s := newSim(t, seed, voters, followers)
+	s.start(s.names...)
+	if !s.play(20_000, s.level) {
+		t.Fatalf("seed %d: not level after 20 s: %v", seed, s.all["v0"].said)
+	}
+	return s
+}
+
+// A fleet founds, elects, gives each an incarnation, and agrees on lines from everybody in one order, each once, over a network
+// that loses and doubles.
+func TestAgrees(t *testing.T) {
+	for seed := range uint64(5) {
+		s := begun(t, seed, 3, 3)
+		s.loss, s.twice = 0.1, 0.1
+		tokens := map[string][]uint64{}
+		for i := range 20 {
+			for _, name := range s.names {
+				tokens[name] = append(tokens[name], s.propose(name, fmt.Sprintf("%s-%02d", name, i)))
+			}
+			s.play(50, nil)
+		}
+		s.loss, s.twice = 0, 0
+		s.play(10_000, nil)
+		lines := s.lines()
+		if len(lines) != 20*len(s.names) {
+			t.Errorf("seed %d: %d lines", seed, len(lines))
+		}
+		for _, name := range s.names {
+			own := slices.DeleteFunc(slices.Clone(lines), func(l string) bool { return l[:2] != name })
+			if !slices.IsSorted(own) || len(slices.Compact(own)) != 20 {
+				t.Errorf("seed %d: of %s: %v", seed, name, own)
+			}
+			for _, token := range tokens[name] {
+				if o, ok := s.all[name].outcome[token]; !ok || o.Err != nil && !errors.Is(o.Err, ErrRepeated) {
+					t.Errorf("seed %d: outcome at %s: %v %v", seed, name, ok, o)
+				}
+			}
+		}
+		if !s.level() {
+			t.Errorf("seed %d: not level", seed)
+		}
+		s.same()
+	}
+}
+
+// standing is how a name stands at every gateway that is up; they must agree.
+func (s *sim) standing(name string) Standing {
+	s.t.Helper()
+	at, found := Unknown, ""
+	for _, x := range s.names {
+		if g := s.all[x]; g.up && !g.frozen && !g.node.yielded {
+			now := Unknown
+			if m := g.node.members.Names[name]; m != nil {
+				now = m.Standing
+			}
+			if found != "" && now != at {
+				s.t.Errorf("%s is %v at %s and %v at %s", name, at, found, now, x)
+			}
+			at, found = now, x
+		}
+	}
+	return at
+}
+
+// A member is joined, silent once its lease ran out, returned under the same incarnation, left when it says so, and a new
+// incarnation when it starts anew; all gateways say the same at the same place of the log.
+func TestMembersComeAndGo(t *testing.T) {
+	s := begun(t, 7, 3, 3)
+	s.play(10_000, nil)
+	for _, name := range s.names {
+		if s.standing(name) != Joined || s.all["v0"].node.members.Names[name].Losses != 0 {
+			t.Errorf("%s is %v", name, s.standing(name))
+		}
+	}
+	first := s.all["f1"].node.inc
+	s.freeze("f1")
+	if !s.play(6_000, func() bool { return s.all["v0"].node.members.Names["f1"].Standing == Silent }) {
+		t.Error("frozen, f1 is not said to be silent")
+	}
+	s.wake("f1")
+	s.play(3_000, nil)
+	if s.standing("f1") != Joined || s.all["f1"].node.inc != first || s.all["v0"].node.members.Names["f1"].Losses != 1 {
+		t.Errorf("awake, f1 is %v, incarnation %d then %d", s.standing("f1"), first, s.all["f1"].node.inc)
+	}
+	s.all["f1"].handle(Leave{})
+	s.play(1_000, nil)
+	if s.standing("f1") != Left {
+		t.Errorf("after its goodbye f1 is %v", s.standing("f1"))
+	}
+	s.kill("f1")
+	s.play(5_000, nil)
+	s.start("f1")
+	s.play(3_000, nil)
+	if s.standing("f1") != Joined || s.all["f1"].node.inc <= first {
+		t.Errorf("started anew, f1 is %v, incarnation %d after %d", s.standing("f1"), s.all["f1"].node.inc, first)
+	}
+	s.same()
+}
+
+// A change of leader says nobody to be silent, however often it comes.
+func TestChangeOfLeaderLengthensLeases(t *testing.T) {
+	s := begun(t, 8, 5, 4)
+	for range 6 {
+		lead := s.leaders()
+		if len(lead) != 1 {
+			t.Fatalf("leaders: %v", lead)
+		}
+		s.all[lead[0]].node.handOver()
+		s.all[lead[0]].handle(nil)
+		s.play(2_500, nil)
+	}
+	for _, name := range s.names {
+		if m := s.all["v0"].node.members.Names[name]; m.Standing != Joined || m.Losses != 0 {
+			t.Errorf("%s is %v after %d losses", name, m.Standing, m.Losses)
+		}
+	}
+}
+
+// Two processes under one name: the older is told to yield, asks for nothing more, and what it still had on its way does not
+// count; the log says that the name was doubled.
+func TestDoubled(t *testing.T) {
+	s := begun(t, 9, 3, 2)
+	old := s.all["f0"]
+	old.node.propose(Propose{Token: 900, Command: Command{Book: "ledger", Data: []byte("late")}})
+	late := old.node.open[0].c // on its way, as it were
+	old.node.open = nil
+	// Its successor starts under the same name beside it.
+	twin := &gate{s: s, set: old.set, took: 1, outcome: map[uint64]Outcome{}}
+	s.all["f0"] = twin
+	s.start("f0")
+	if !s.play(5_000, func() bool { return twin.node.inc > old.node.inc }) {
+		t.Fatal("the newer has no incarnation")
+	}
+	s.all["v0"].node.ask([]Command{late})
+	s.all["v1"].node.ask([]Command{late})
+	s.all["v2"].node.ask([]Command{late})
+	s.play(500, nil)
+	if slices.Contains(s.lines(), "late") {
+		t.Error("a command of a replaced process counted")
+	}
+	// What the older still says reaches a voter, which tells it.
+	host := s.all[old.node.host]
+	for _, a := range host.node.Handle(s.now, Received{From: "f0", Frame: Frame{Kind: Renew, Cluster: host.node.founded.Cluster, ID: old.node.id.ID,
+		Nonce: old.node.nonce, Renewals: []Renewal{{Incarnation: old.node.inc}}}}) {
+		if a, ok := a.(Send); ok && a.Frame.Kind == Yield {
+			old.handle(Received{From: host.set.Name, Frame: a.Frame})
+		}
+	}
+	if !old.node.yielded || twin.node.yielded {
+		t.Errorf("yielded: older %t, newer %t", old.node.yielded, twin.node.yielded)
+	}
+	if old.handle(Propose{Token: 901}); old.outcome[901].Err != ErrYielded {
+		t.Errorf("the older proposes: %v", old.outcome[901])
+	}
+}
+
+// A voter whose store is lost is somebody else from then on: it gets another identity, follows, and never votes as the old one.
+// The last of three that is left alone agrees on nothing.
+func TestLostStoreNeverVotes(t *testing.T) {
+	for seed := range uint64(10) { // whoever leads, and whomever it follows
+		lostStore(t, 200+seed)
+	}
+}
+
+func lostStore(t *testing.T, seed uint64) {
+	s := begun(t, seed, 3, 0)
+	s.propose("v0", "one")
+	s.play(1000, nil)
+	was := s.all["v1"].disk.identity
+	s.kill("v1")
+	s.all["v1"].disk = disk{}
+	s.start("v1")
+	s.play(5_000, nil)
+	g := s.all["v1"]
+	if g.disk.identity.ID == was.ID || g.node.raft != nil || g.node.inc == 0 || !slices.Equal(g.book.Lines, []string{"one"}) {
+		t.Errorf("identity %v after %v, votes %t, lines %v", g.disk.identity, was, g.node.raft != nil, g.book.Lines)
+	}
+	s.kill("v2")
+	token := s.propose("v0", "two")
+	s.play(20_000, nil)
+	if lead := s.leaders(); len(lead) != 0 || s.all["v0"].outcome[token].Err != ErrGivenUp || len(s.lines()) != 1 {
+		t.Errorf("with one voter of three: leaders %v, outcome %v, lines %v", lead, s.all["v0"].outcome[token], s.lines())
+	}
+	s.start("v2")
+	s.play(10_000, nil)
+	if !s.level() || s.all["v1"].node.raft != nil {
+		t.Error("with two of three again, not level")
+	}
+	s.same()
+}
+
+// All founders but one have lost their stores, or all but one are away: nobody founds a second fleet.
+func TestFoundsOnce(t *testing.T) {
+	s := begun(t, 11, 3, 0)
+	fleet := s.all["v2"].node.founded.Cluster
+	s.kill("v0", "v1", "v2")
+	s.all["v0"].disk, s.all["v1"].disk = disk{}, disk{}
+	s.start("v0", "v1")
+	s.play(20_000, nil)
+	if s.all["v0"].node.founded != nil || s.all["v1"].node.founded != nil {
+		t.Error("two of three with empty stores founded a fleet")
+	}
+	s.start("v2")
+	s.play(5_000, nil)
+	for _, name := range s.names {
+		if f := s.all[name].node.founded; f == nil || f.Cluster != fleet {
+			t.Errorf("%s belongs to %v", name, f)
+		}
+	}
+	if s.propose("v2", "x"); len(s.leaders()) != 0 {
+		t.Error("a majority of the voters has lost its stores, and somebody leads")
+	}
+}
+
+// A disk that fails ends a gateway's vote and nothing else; one that is slow hands over the lead.
+func TestDisks(t *testing.T) {
+	s := begun(t, 12, 3, 1)
+	lead := s.leaders()[0]
+	s.all[lead].took = 2000
+	s.propose(lead, "slow")
+	if !s.play(15_000, func() bool { l := s.leaders(); return len(l) == 1 && l[0] != lead }) {
+		t.Errorf("a slow disk still leads: %v", s.leaders())
+	}
+	s.all[lead].took = 1
+	next := s.leaders()[0]
+	s.all[next].fails = true
+	s.propose(next, "full")
+	s.play(15_000, nil)
+	if l := s.leaders(); len(l) != 1 || l[0] == next || !s.all[next].node.dead || s.all[next].node.Report(s.now).Role != "broken" {
+		t.Errorf("leaders %v after the disk of %s failed", l, next)
+	}
+	s.same()
+}
+
+// Faults in an order by seed: parted, frozen, killed with the store kept, messages lost and doubled. What was agreed is the
+// same everywhere, throughout; once faults stop all are level, and no line counts twice or out of its order.
+func TestFaults(t *testing.T) {
+	for seed := range uint64(20) {
+		s := begun(t, 100+seed, 3+2*int(seed%2), 2)
+		s.loss, s.twice = 0.05, 0.05
+		n := 0
+		for range 25 {
+			name := s.names[int(s.chance.Next())%len(s.names)]
+			g := s.all[name]
+			switch s.chance.Next() % 6 {
+			case 0:
+				i := 1 + int(s.chance.Next())%(len(s.names)-1)
+				s.part(s.names[:i], s.names[i:])
+			case 1:
+				other := s.names[int(s.chance.Next())%len(s.names)]
+				s.cut[[2]string{name, other}] = true
+			case 2:
+				if g.up && !g.frozen {
+					s.freeze(name)
+				}
+			case 3:
+				if g.up && !g.frozen {
+					s.kill(name)
+				}
+			case 4:
+				s.heal()
+			case 5:
+				if !g.up {
+					s.start(name)
+				} else if g.frozen {
+					s.wake(name)
+				}
+			}
+			for _, name := range s.names {
+				if g := s.all[name]; g.up && !g.frozen && g.node.inc != 0 {
+					n++
+					s.propose(name, fmt.Sprintf("%s-%d-%05d", name, g.node.inc, n))
+				}
+			}
+			s.play(100+1500*s.chance.Below(), nil)
+		}
+		s.heal()
+		s.loss, s.twice = 0, 0
+		for _, name := range s.names {
+			if g := s.all[name]; !g.up {
+				s.start(name)
+			} else if g.frozen {
+				s.wake(name)
+			}
+		}
+		if s.play(30_000, nil); !s.level() {
+			t.Errorf("seed %d: not level 30 s after the last fault", seed)
+		}
+		seen, last := map[string]bool{}, map[string]string{}
+		for _, l := range s.lines() {
+			by := l[:len(l)-6]
+			if seen[l] || l < last[by] {
+				t.Errorf("seed %d: %s twice, or after %s", seed, l, last[by])
+			}
+			seen[l], last[by] = true, l
+		}
+		s.same()
+	}
+}
+
+// Word from before this process began founds nothing: who said it may have a fleet by now.
+func TestOldWordFoundsNothing(t *testing.T) {
+	s := newSim(t, 13, 3, 0)
+	s.start("v0")
+	for _, name := range []string{"v1", "v2"} {
+		s.all["v0"].handle(Received{From: name, Frame: Frame{Kind: Hello, ID: 77, Nonce: 5, Echo: s.all["v0"].node.nonce + 2}})
+	}
+	if f := s.all["v0"].node.founded; f != nil {
+		t.Errorf("founded %v", f)
+	}
+}
+
+// Who has said goodbye stays gone under that incarnation, whatever is late on its way; a name that starts anew is there again.
+func TestGoodbyeHolds(t *testing.T) {
+	m := newMembers(2)
+	join := func(index uint64, name string, nonce uint64) any {
+		return m.Apply(index, Command{Kind: joins, Data: encode(Member{Name: name, Nonce: nonce})})
+	}
+	join(1, "a", 1)
+	m.Apply(2, Command{Kind: leaves, Data: encode(uint64(1))})
+	for i, kind := range []string{returns, silent, leaves} {
+		if r := m.Apply(uint64(3+i), Command{Kind: kind, Data: encode(uint64(1))}); r != ErrRepeated || m.Names["a"].Standing != Left {
+			t.Errorf("%s after the goodbye: %v, %v", kind, r, m.Names["a"].Standing)
+		}
+	}
+	join(6, "b", 2)
+	if r, ok := join(7, "c", 3).(Member); !ok || r.Incarnation != 3 || m.Names["a"] != nil {
+		t.Errorf("with no room, the one that is gone goes: %v", m.All())
+	}
+	if r := join(8, "d", 4); r != ErrFull {
+		t.Errorf("with all there, a new name: %v", r)
+	}
+	if r, ok := join(9, "b", 2).(Member); !ok || r.Incarnation != 2 {
+		t.Errorf("a join that comes twice: %v", r)
+	}
+}
+
+// The same events bring the same actions: a day with losses and a change of leader plays alike to the last line.
+func TestPlaysAlike(t *testing.T) {
+	day := func() string {
+		s := begun(t, 21, 5, 3)
+		s.loss, s.twice = 0.1, 0.1
+		for i := range 10 {
+			for _, name := range s.names {
+				s.propose(name, fmt.Sprint(name, i))
+			}
+			if lead := s.leaders(); i == 5 && len(lead) > 0 {
+				s.freeze(lead[0])
+			}
+			s.play(700, nil)
+		}
+		text := fmt.Sprint(s.agreed)
+		for _, name := range s.names {
+			text += fmt.Sprint(s.all[name].said)
+		}
+		return text
+	}
+	if one, two := day(), day(); one != two {
+		t.Error("two plays of one day differ")
+	}
+}
+
+// Idle, the agreement costs each gateway a few frames a second and the log does not grow, at 3, 30 and 300 gateways; the leader
+// hears its voters alone.
+func TestIdle(t *testing.T) {
+	for _, c := range []struct{ voters, followers int }{{3, 0}, {5, 25}, {7, 293}} {
+		s := begun(t, 31, c.voters, c.followers)
+		s.play(5000, nil)
+		place := s.all["v0"].node.applied
+		clear(s.frames)
+		s.bytes = 0
+		s.play(10_000, nil)
+		sum, most := 0, 0
+		for _, n := range s.frames {
+			sum, most = sum+n, max(most, n)
+		}
+		t.Logf("%d gateways: %.0f frames a second in all, %.0f bytes each, %.0f from the busiest", len(s.names), float64(sum)/10,
+			float64(s.bytes)/float64(sum), float64(most)/10)
+		lead := s.leaders()
+		if len(lead) != 1 || s.all["v0"].node.applied != place {
+			t.Errorf("%d gateways: leaders %v, the log went from %d to %d", len(s.names), lead, place, s.all["v0"].node.applied)
+		}
+		if per := float64(sum) / 10 / float64(len(s.names)); per > 20 || most > 1500 {
+			t.Errorf("%d gateways: %.1f frames a second each, %d in ten seconds from one", len(s.names), per, most)
+		}
+	}
+}
+
+// One that was away for longer than the log reaches back is brought up by the state itself, in one piece, and by entries in
+// bounded ones where the log still has them; the others' commands go on meanwhile.
+func TestLagging(t *testing.T) {
+	s := begun(t, 32, 3, 2)
+	s.kill("f0", "v2")
+	s.freeze("f1")
+	for i := range 300 { // six times what is kept
+		s.propose("v0", fmt.Sprintf("line %04d", i))
+		s.play(20, nil)
+	}
+	s.play(3000, nil)
+	if len(s.all["v0"].book.Lines) != 300 {
+		t.Fatalf("%d lines agreed while three are away", len(s.all["v0"].book.Lines))
+	}
+	if first, _ := s.all["v0"].node.log.FirstIndex(); first < 100 {
+		t.Errorf("the log still begins at %d", first)
+	}
+	s.start("f0", "v2")
+	s.wake("f1")
+	if !s.play(10_000, s.level) {
+		t.Error("not level")
+	}
+	for _, name := range s.names {
+		if lines := s.all[name].book.Lines; len(lines) != 300 || !slices.IsSorted(lines) {
+			t.Errorf("%s has %d lines", name, len(lines))
+		}
+	}
+	s.same()
+}
--- /dev/null
+++ b/internal/quorum/report.go
@@ -0,0 +1,106 @@
+package quorum
+
+import (
+	"go.etcd.io/raft/v3"
+)
+
+// Report is what a gateway knows of the agreement, for people and for scripts.
+type Report struct {
+	Name        string         `json:"name"`
+	Cluster     uint64         `json:"fleet"`
+	Identity    uint64         `json:"identity"`
+	Incarnation uint64         `json:"incarnation"`
+	Role        string         `json:"role"` // leader, voter, candidate, follower, none, broken or yielded
+	Leader      string         `json:"leader"`
+	Term        uint64         `json:"term"`
+	Applied     uint64         `json:"applied"`
+	Age         float64        `json:"age_ms"` // since it last heard of whom its view comes from
+	Voters      []string       `json:"voters"`
+	Majority    bool           `json:"majority"` // as far as can be told from here
+	Open        int            `json:"open"`     // commands of its own that wait to be agreed
+	Members     []MemberReport `json:"members"`
+}
+
+// MemberReport is one member in a report.
+type MemberReport struct {
+	Name        string  `json:"name"`
+	Zone        string  `json:"zone"`
+	Address     string  `json:"address"`
+	Incarnation uint64  `json:"incarnation"`
+	Standing    string  `json:"standing"`
+	Since       uint64  `json:"since"`
+	Losses      uint64  `json:"losses"`
+	Votes       bool    `json:"votes"`
+	Heard       float64 `json:"heard_ms,omitempty"` // at the leader: since it was last heard of
+}
+
+// Report tells how things stand.
+func (n *Node) Report(now float64) Report {
+	r := Report{Name: n.set.Name, Identity: n.id.ID, Incarnation: n.inc, Leader: n.leader, Applied: n.applied, Open: len(n.open), Role: "follower"}
+	voters := n.voters()
+	if n.founded != nil {
+		r.Cluster = n.founded.Cluster
+	}
+	switch {
+	case n.yielded:
+		r.Role = "yielded"
+	case n.dead:
+		r.Role = "broken"
+	case n.founded == nil:
+		r.Role = "none"
+	case n.leads():
+		r.Role = "leader"
+		r.Majority = true
+	case n.raft != nil && n.raft.BasicStatus().RaftState != raft.StateFollower:
+		r.Role = "candidate"
+	case n.raft != nil:
+		r.Role = "voter"
+	}
+	if n.raft != nil {
+		r.Term = n.raft.BasicStatus().GetTerm()
+		r.Age = max(0, now-n.heard)
+	} else {
+		r.Age = max(0, now-n.hosted)
+	}
+	if n.leads() {
+		r.Age = 0
+	} else {
+		r.Majority = n.leader != "" && r.Age < n.set.Election
+	}
+	for _, m := range n.members.All() {
+		x := MemberReport{Name: m.Name, Zone: m.Zone, Address: m.Address, Incarnation: m.Incarnation, Standing: m.Standing.String(),
+			Since: m.Since, Losses: m.Losses}
+		if _, ok := voters[m.Identity]; ok && m.Identity != 0 {
+			x.Votes = true
+			r.Voters = append(r.Voters, m.Name)
+		}
+		if at, ok := n.renewed[m.Incarnation]; ok && n.leads() {
+			x.Heard = now - at
+		}
+		r.Members = append(r.Members, x)
+	}
+	return r
+}
+
+// Address is where a peer is reached: as this gateway was told at its start, else as the peer itself said.
+func (n *Node) Address(name string) string {
+	if a := n.set.Peers[name]; a != "" {
+		return a
+	}
+	if m := n.members.Names[name]; m != nil {
+		return m.Address
+	}
+	return ""
+}
+
+// Alive tells whether a name is there with that incarnation, as the log says.
+func (n *Node) Alive(name string, incarnation uint64) bool {
+	m := n.members.Names[name]
+	return m != nil && m.Incarnation == incarnation && m.Standing == Joined
+}
+
+// Members is the book of members; it must not be changed.
+func (n *Node) Members() *Members { return n.members }
+
+// Incarnation is this process's; 0 as long as the log has given none.
+func (n *Node) Incarnation() uint64 { return n.inc }
--- a/internal/rehearsal/script/fields.go
+++ b/internal/rehearsal/script/fields.go
@@ -105,6 +105,12 @@
 	return []op.Field{op.Attr("longest_wait", op.Span(&f.Longest, 0, 20*time.Second))}
 }
 
+func (q *Quorum) fields() []op.Field {
+	*q = Quorum{On: true, Voters: 3, Beat: 50, Election: 400, Lease: 1200}
+	return []op.Field{op.Attr("voters", op.Whole(&q.Voters, 1, 7)), op.Attr("beat", op.Span(&q.Beat, 10*time.Millisecond, time.Second)),
+		op.Attr("election", op.Span(&q.Election, 50*time.Millisecond, time.Minute)), op.Attr("lease", op.Span(&q.Lease, 100*time.Millisecond, time.Minute))}
+}
+
 func (p *Phase) fields() []op.Field {
 	e := &p.Expect
 	return []op.Field{op.Must("for", op.Span(&p.For, 100*time.Millisecond, 24*time.Hour)), op.Must("rate", op.Number(&p.Rate, 0, 1e6)),
@@ -124,6 +130,7 @@
 		op.Attr("over", op.Span(&e.Over, 0, 24*time.Hour)), op.Attr("same_address", op.Flag(&e.SameAddress)),
 		op.Attr("delay", op.Span(&e.Delay, 0, longest)), op.Attr("groups", op.Whole(&e.Groups, 1, 256)), op.Attr("club", op.Text(&e.Club)),
 		op.Attr("kiosks", op.Whole(&e.Kiosks, 1, 10_000)), op.Attr("member", op.Text(&e.Member)),
+		op.Attr("one_way", op.Flag(&e.OneWay)), op.Attr("disk", op.OneOf(&e.Disk, "kept", "lost")),
 		op.Check(e.whole)}
 }
 
@@ -131,10 +138,11 @@
 func (e *Event) whole() error {
 	uses := map[string]string{"slow": "factor", "traffic": "factor", "large": "factor share", "fail": "share", "lose": "share", "cut": "share",
 		"once": "share", "lag": "delay", "storm": "kiosks club member", "purge": "share groups", "replace": "over same_address", "drain": "over",
-		"kill": "over", "restart": "over", "stop": "over", "forge": "factor"}
+		"kill": "over disk", "part": "one_way", "restart": "over", "stop": "over", "forge": "factor"}
 	given := map[string]bool{"factor": e.Factor != 0, "delay": e.Delay != 0, "kiosks": e.Kiosks != 0, "club": e.Club != "",
-		"groups": e.Groups != 0, "over": e.Over != 0, "same_address": e.SameAddress, "member": e.Member != ""}
-	for _, name := range []string{"factor", "delay", "kiosks", "club", "groups", "over", "same_address", "member"} {
+		"groups": e.Groups != 0, "over": e.Over != 0, "same_address": e.SameAddress, "member": e.Member != "",
+		"one_way": e.OneWay, "disk": e.Disk != ""}
+	for _, name := range []string{"factor", "delay", "kiosks", "club", "groups", "over", "same_address", "member", "one_way", "disk"} {
 		if given[name] && !slices.Contains(strings.Fields(uses[e.Do]), name) {
 			return fmt.Errorf("%s takes no %s", e.Do, name)
 		}
--- a/internal/rehearsal/script/script.go
+++ b/internal/rehearsal/script/script.go
@@ -34,6 +34,7 @@
 	Clients     Clients
 	Links       Links
 	Fair        Fair
+	Quorum      Quorum
 	Phases      []Phase
 	Events      []Event
 }
@@ -124,6 +125,13 @@
 	Longest float64 // ms that clients may be told to stay away
 }
 
+// Quorum has the gateways agree, on sockets alone.
+type Quorum struct {
+	On                    bool
+	Voters                int // the first so many gateways
+	Beat, Election, Lease float64
+}
+
 // Phase is a stretch of time with its traffic and what is expected of it.
 type Phase struct {
 	Name      string
@@ -158,6 +166,8 @@
 	Club           string
 	Kiosks         int
 	Member         string // of whom kiosks are
+	OneWay         bool   // what goes out of those chosen is cut, what comes in is not
+	Disk           string // of a gateway that is killed: kept, or lost
 }
 
 // What can happen, and to what.
@@ -166,11 +176,11 @@
 	deeds = map[string][]string{
 		"stop": boxes, "kill": {"edge", "hub", "core", "gateway"}, "vanish": boxes, "silent": boxes, "pause": boxes, "slow": boxes,
 		"fail": boxes, "lose": boxes, "cut": boxes, "replace": {"edge", "hub"}, "drain": {"edge", "hub"}, "restart": {"gateway"},
-		"hup": {"gateway"}, "lag": {"list"}, "purge": {"objects"}, "break": {"channel"}, "mute": {"channel"}, "repeat": {"channel"},
+		"hup": {"gateway"}, "freeze": {"gateway"}, "part": {"gateway"}, "lag": {"list"}, "purge": {"objects"}, "break": {"channel"}, "mute": {"channel"}, "repeat": {"channel"},
 		"traffic": {"clients"}, "storm": {"clients"}, "once": {"clients"}, "large": {"clients"},
 		"forge": {"clients"}, "rotate": {"keys"}, "withdraw": {"keys"},
 	}
-	needFor = []string{"pause", "slow", "fail", "lose", "cut", "lag", "mute", "traffic", "storm", "once", "large", "silent", "vanish", "forge"}
+	needFor = []string{"freeze", "part", "pause", "slow", "fail", "lose", "cut", "lag", "mute", "traffic", "storm", "once", "large", "silent", "vanish", "forge"}
 )
 
 // Deeds lists what can happen, for people.
@@ -245,7 +255,7 @@
 	site := ""
 	err := operator.Parse(text, file, append(s.common(), operator.Attr("site", operator.Text(&site)),
 		operator.Must("about", operator.Text(&s.About)), operator.Attr("seed", operator.Whole(&s.Seed, 0, 1<<30)),
-		operator.One("links", s.Links.fields), operator.One("fair", s.Fair.fields),
+		operator.One("links", s.Links.fields), operator.One("fair", s.Fair.fields), operator.One("quorum", s.Quorum.fields),
 		operator.Block("phase", []string{"name"}, func(labels []string, _ int) ([]operator.Field, error) {
 			p := Phase{Name: labels[0]}
 			if n := len(s.Phases); n > 0 {
@@ -281,6 +291,8 @@
 		return fmt.Errorf("the shares of the types come to %.3f in place of 1", sharing)
 	case s.Gateways < len(s.Clubs):
 		return fmt.Errorf("%d gateways for %d clubs", s.Gateways, len(s.Clubs))
+	case s.Quorum.On && (s.Quorum.Voters%2 == 0 || s.Quorum.Voters > s.Gateways):
+		return fmt.Errorf("%d voters among %d gateways", s.Quorum.Voters, s.Gateways)
 	case s.Box.Count < len(s.Clubs):
 		return fmt.Errorf("%d edge caches for %d clubs", s.Box.Count, len(s.Clubs))
 	}
@@ -288,6 +300,9 @@
 		if e.At >= s.Length() {
 			return fmt.Errorf("event %s of line %d comes at %v ms, past the end at %v ms", e.Do, e.Line, e.At, s.Length())
 		}
+		if !s.Quorum.On && (e.Do == "part" || e.Disk != "") {
+			return fmt.Errorf("event %s of line %d needs the block quorum", e.Do, e.Line)
+		}
 		if s.Links.Life == 0 && slices.Contains([]string{"forge", "rotate", "withdraw"}, e.Do) {
 			return fmt.Errorf("event %s of line %d needs the block links", e.Do, e.Line)
 		}
--- a/internal/rehearsal/sockets/gateway.go
+++ b/internal/rehearsal/sockets/gateway.go
@@ -75,7 +75,7 @@
 	p.starts++
 	cmd := exec.Command(s.Binary, "serve", "--config", p.file())
 	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "TMPDIR=" + s.dir}
-	if s.script.Links.Life > 0 || s.script.Fair.On {
+	if s.script.Links.Life > 0 || s.script.Fair.On || s.script.Quorum.On {
 		cmd.Env = append(cmd.Env, "POPPYMILL_FILE="+s.operator(p.number))
 	}
 	if s.Logs != "" {
@@ -141,6 +141,26 @@
 	}
 }
 
+// store is the folder in which its part of the agreement is kept over restarts.
+func (p *process) store() string {
+	return filepath.Join(p.stage.dir, fmt.Sprintf("store-%d", p.number))
+}
+
+// freeze stops the process where it stands; what its clients had open is over for them.
+func (p *process) freeze(on bool) {
+	if p.cmd == nil {
+		return
+	}
+	if on {
+		p.cmd.Process.Signal(syscall.SIGSTOP)
+		p.hangUp()
+		return
+	}
+	p.cmd.Process.Signal(syscall.SIGCONT)
+	cmd := p.cmd
+	p.stage.spawn(func() { p.untilReady(p.stage.ctx, cmd) })
+}
+
 // kill ends the process outright; the world has been told or will not hear of it any more.
 func (p *process) kill() {
 	if p.cmd != nil {
--- a/internal/rehearsal/sockets/stage.go
+++ b/internal/rehearsal/sockets/stage.go
@@ -23,6 +23,8 @@
 	"poppymill/internal/clients"
 	"poppymill/internal/links"
 	"poppymill/internal/links/keyfile"
+	"poppymill/internal/quorum"
+	"poppymill/internal/quorum/drive"
 	"poppymill/internal/rehearsal/script"
 	"poppymill/internal/rehearsal/world"
 )
@@ -62,6 +64,7 @@
 	numbers  int64
 	gateways []*process
 	late     *hdrhistogram.Histogram
+	relays   *relays
 }
 
 // New makes a stage; Run plays it.
@@ -77,10 +80,20 @@
 	}
 	st.ctx, st.stop = context.WithCancelCause(context.Background())
 	st.world = world.New(s, world.Options{Epoch: float64(st.start.UnixMicro()) / 1000, Thin: 16, Facts: o.Facts, Strangers: o.Binary == ""})
-	if err = st.operators(); err == nil && s.Links.Life > 0 {
+	st.relays = newRelays(st)
+	if s.Quorum.On {
+		err = st.relays.open(s.Gateways)
+	}
+	if err == nil {
+		err = st.operators()
+	}
+	if err == nil && s.Links.Life > 0 {
 		err = st.keys(st.world.LinkKeys())
 	}
 	if err != nil {
+		st.stop(err)
+		st.relays.close()
+		st.live.Wait()
 		return nil, errors.Join(err, os.RemoveAll(dir))
 	}
 	for i := range s.Gateways {
@@ -90,6 +103,7 @@
 			for _, p := range st.gateways {
 				p.end()
 			}
+			st.relays.close()
 			st.live.Wait()
 			return nil, errors.Join(err, os.RemoveAll(dir))
 		}
@@ -196,6 +210,7 @@
 		case <-s.ctx.Done():
 		}
 	}
+	s.relays.close()
 	for _, e := range s.boxes {
 		e.shut(false)
 	}
@@ -242,6 +257,15 @@
 			}
 		case world.Kill:
 			s.gateways[a.Gateway].kill()
+			if a.DiskLost {
+				if err := os.RemoveAll(s.gateways[a.Gateway].store()); err != nil {
+					s.stop(err)
+				}
+			}
+		case world.Freeze:
+			s.gateways[a.Gateway].freeze(!a.Thaw)
+		case world.Part:
+			s.relays.part(a.Apart, len(s.gateways), a.OneWay, !a.Heal)
 		case world.Keys:
 			if err := s.keys(a.Keys); err != nil {
 				s.stop(err)
@@ -311,6 +335,9 @@
 			}
 			text += "}\n"
 		}
+		if q := s.script.Quorum; q.On {
+			text += s.relays.block(i, q, func(n int) string { name, _, _ := s.world.Config(n); return name })
+		}
 		if err := os.WriteFile(s.operator(i), []byte(text), 0o600); err != nil {
 			return err
 		}
@@ -370,6 +397,23 @@
 	return all
 }
 
+// Reports are what the gateways say of what they agree on, asked past the relays; nil for one that does not answer.
+func (s *Stage) Reports(within time.Duration) []*quorum.Report {
+	all := make([]*quorum.Report, len(s.relays.listen))
+	var g sync.WaitGroup
+	for i, address := range s.relays.listen {
+		g.Go(func() {
+			ctx, cancel := context.WithTimeout(s.ctx, within)
+			defer cancel()
+			if r, err := drive.Ask(ctx, address); err == nil {
+				all[i] = &r
+			}
+		})
+	}
+	g.Wait()
+	return all
+}
+
 // Channel is the address of the command channel as one gateway is told it.
 func (s *Stage) Channel(gateway int) string { return s.gateways[gateway].channel.address() }
 
--- a/internal/rehearsal/virtual/virtual.go
+++ b/internal/rehearsal/virtual/virtual.go
@@ -5,6 +5,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"maps"
@@ -103,6 +104,9 @@
 
 // Run plays a script to its end.
 func Run(s *script.Script, o Options) (Stats, error) {
+	if i := slices.IndexFunc(s.Events, func(e script.Event) bool { return e.Do == "freeze" }); i >= 0 || s.Quorum.On {
+		return Stats{}, errors.New("gateways that agree, or are frozen, are rehearsed on sockets alone")
+	}
 	d := &driver{Options: o, script: s, wires: map[int64]*wire{}, buffers: buffer.NewPool(1 << 34)}
 	d.world = world.New(s, world.Options{Epoch: epoch, Facts: o.Facts})
 	for i := range s.Gateways {
--- a/internal/rehearsal/world/clients.go
+++ b/internal/rehearsal/world/clients.go
@@ -397,6 +397,16 @@
 	}
 }
 
+// thaw has a process that was frozen go on, with all that it had in hand; what the channel told meanwhile comes now.
+func (w *World) thaw(g *gateway) {
+	if g.up {
+		return
+	}
+	g.up, g.until = true, 0
+	w.act(Freeze{Gateway: g.number, Thaw: true})
+	w.after(latest, func() { w.list.heard(w, g, len(w.list.log)) })
+}
+
 // start brings a gateway's process up, anew and with nothing but what the channel has told so far.
 func (w *World) start(g *gateway) {
 	if g.up {
--- a/internal/rehearsal/world/door.go
+++ b/internal/rehearsal/world/door.go
@@ -98,11 +98,27 @@
 	// Start, Kill, Term and Hup act on a gateway's process: started anew from nothing, killed outright, told to end,
 	// told to read its configuration again.
 	Start struct{ Gateway int }
-	Kill  struct{ Gateway int }
-	Term  struct{ Gateway int }
-	Hup   struct{ Gateway int }
+	Kill  struct {
+		Gateway  int
+		DiskLost bool // what it kept of the agreement is lost with it
+	}
+	Term struct{ Gateway int }
+	Hup  struct{ Gateway int }
 )
 
+// Freeze stops a gateway's process where it stands, or has it go on.
+type Freeze struct {
+	Gateway int
+	Thaw    bool
+}
+
+// Part cuts what goes from some gateways to the others, and, unless it is one way, back; Heal mends it.
+type Part struct {
+	Apart  []int
+	OneWay bool
+	Heal   bool
+}
+
 // ChannelState is how the command channel behaves.
 type ChannelState int
 
--- a/internal/rehearsal/world/happen.go
+++ b/internal/rehearsal/world/happen.go
@@ -153,6 +153,18 @@
 	if e.Times > 1 && e.Name == "" && e.Count == 0 && e.Share == 0 { // one after another
 		chosen = []*gateway{w.gateways[i%len(w.gateways)]}
 	}
+	if e.Do == "part" {
+		p := Part{OneWay: e.OneWay}
+		for _, g := range chosen {
+			p.Apart = append(p.Apart, g.number)
+		}
+		w.act(p)
+		w.until(e, func() {
+			p.Heal = true
+			w.act(p)
+		})
+		return
+	}
 	for n, g := range chosen {
 		w.after(float64(n)*e.Over/float64(len(chosen)), func() {
 			if !g.up {
@@ -163,9 +175,13 @@
 			case "hup":
 				w.act(Hup{Gateway: g.number})
 			case "kill":
-				w.act(Kill{Gateway: g.number})
+				w.act(Kill{Gateway: g.number, DiskLost: e.Disk == "lost"})
 				w.exited(g, false)
 				w.after(back, func() { w.start(g) })
+			case "freeze":
+				w.act(Freeze{Gateway: g.number})
+				w.exited(g, false)
+				w.after(e.For, func() { w.thaw(g) })
 			case "restart":
 				g.ending = true
 				g.until = w.now + 300
--- a/router/ring.go
+++ b/router/ring.go
@@ -1,5 +1,7 @@
 package router
 
+import "poppymill/internal/chance"
+
 // Ring sums what is measured over time in fixed buckets that are used again.
 type Ring struct {
 	width float64
@@ -43,14 +45,5 @@
 	clear(r.slots)
 }
 
-// Chance is a multiply-with-carry generator: the low half is the state, the high half the carry.
-type Chance uint64
-
-// Next returns the next 32 bits.
-func (c *Chance) Next() uint32 {
-	*c = 4294957665*(*c&0xffffffff) + *c>>32
-	return uint32(*c)
-}
-
-// Below is a number from 0 up to, not including, 1.
-func (c *Chance) Below() float64 { return float64(c.Next()) / (1 << 32) }
+// Chance is the seeded generator that all decisions share.
+type Chance = chance.Chance
