Owned work, pure: grants with tokens that rise, gates, unsafe steps meant and done; faults that must bite

Need: one owner at a time for work on behalf of the fleet; an old one that wakes late must do no harm. Change: internal/owner: the book of jobs that the log's commands bring about, the leader's planner, an owner's part, the gate at a place. Not wired yet. internal/bite puts 23 faults into a copy of the code, one at a time, and names the test that catches each. A gateway that founds alone does (it heard nobody's hello, and so never looked).

--- /dev/null
+++ b/internal/bite/main.go
@@ -0,0 +1,112 @@
+// Command bite puts faults into a copy of the code, one at a time, and tells whether the test that is named for each catches it.
+// A fault that is not caught is a test that is missing. `go run ./internal/bite` from the root; it takes some minutes.
+package main
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+)
+
+// fault is one line of the code put wrong, and the test that must fail for it.
+type fault struct {
+	name, file, from, to string
+	dir, test            string
+}
+
+const (
+	agreement = "./internal/quorum"
+	disk      = "./internal/quorum/drive"
+	owned     = "./internal/owner"
+)
+
+var faults = []fault{
+	{"sync left out", "internal/quorum/node.go", "\t\tn.save(rec, done)\n",
+		"\t\tif rec.Snapshot == nil {\n\t\t\trec.Hard, rec.Entries = nil, nil\n\t\t}\n\t\tn.save(rec, func() {})\n\t\tdone()\n", agreement, "TestAgrees"},
+	{"old identity taken back", "internal/quorum/node.go", "if n.id.ID == 0 {", "if n.id = (Identity{ID: 9 + uint64(set.Name[1]), Name: set.Name}); store.Identity.ID == 0 {",
+		agreement, "TestLostStoreNeverVotes"},
+	{"founding by old word", "internal/quorum/peers.go", "if f.Echo == n.nonce && f.Cluster == 0 {", "if f.Cluster == 0 {", agreement, "TestOldWordFoundsNothing"},
+	{"founding without all founders", "internal/quorum/peers.go", "n.now > h.at+n.set.Election {\n\t\t\treturn", "n.now > h.at+n.set.Election {\n\t\t\tcontinue", agreement, "TestFoundsOnce"},
+	{"commands that come twice count twice", "internal/quorum/members.go", "if c.Seq <= x.Seq {", "if false {", agreement, "TestAgrees|TestFaults"},
+	{"commands count out of order", "internal/quorum/members.go", "} else if c.Seq != x.Seq+1 {", "} else if false {", agreement, "TestAgrees"},
+	{"commands of a replaced process count", "internal/quorum/members.go", "if x == nil {\n\t\treturn ErrReplaced\n\t}\n\tif c.Seq", "if x == nil {\n\t\treturn nil\n\t}\n\tif c.Seq", agreement, "TestDoubled"},
+	{"a change of leader shortens leases", "internal/quorum/node.go", "\t\t\t\tn.renewed[m.Incarnation] = n.now\n\t\t\t}\n\t\t\tn.beatAt", "\t\t\t\tn.renewed[m.Incarnation] = n.now - 2900\n\t\t\t}\n\t\t\tn.beatAt", agreement, "TestChangeOfLeader"},
+	{"entries without their place", "internal/quorum/peers.go", "|| f.After != n.applied {", "{", agreement, "TestAgrees|TestFaults"},
+	{"a goodbye is undone", "internal/quorum/members.go", "x.Standing == Left || c.Kind == silent", "c.Kind == silent", agreement, "TestGoodbyeHolds"},
+	{"a voter's name for its identity", "internal/quorum/peers.go", "n.voter(from) != f.ID { //", "n.voter(from) == 0 { //", agreement, "TestLostStoreNeverVotes"},
+	{"a checksum is not looked at", "internal/quorum/drive/store.go", "if len(v) < 8 || binary.BigEndian.Uint64(v) != sum(key, v[8:]) {", "if len(v) < 8 {", disk, "TestSpoilt"},
+	{"a torn head is passed over", "internal/quorum/drive/store.go", "if err := heads(path); err != nil {", "if err := heads(path); false {", disk, "TestSpoilt"},
+	{"token check left out at the place", "internal/owner/gate.go", "token < newer && (known || token <= g.floor) {", "token < newer && false {", owned, "TestOldOwnerWakesLate"},
+	{"a floor is not kept for what is forgotten", "internal/owner/gate.go", "g.floor = max(g.floor, g.seen[old].token)", "", owned, "TestRefusals"},
+	{"meant not agreed first", "internal/owner/work.go", "if j.Type == Unsafe && j.Meant[step] != u.token {", "if false {", owned, "TestOldOwnerWakesLate|TestOwnersComeAndGo"},
+	{"tokens do not rise", "internal/owner/book.go", "\tb.Last++\n", "\tb.Last = max(b.Last, 1)\n", owned, "TestOldOwnerWakesLate"},
+	{"a lost owner keeps its grant", "internal/owner/book.go", "if j.Owner == name && (!w.There || j.Incarnation != w.Incarnation) {", "if false {", owned, "TestOldOwnerWakesLate"},
+	{"what was meant is forgotten", "internal/owner/book.go", "\t\tj.Doubt[step] = token\n\t}\n\tclear(j.Meant)", "\t\t_, _ = step, token\n\t}\n\tclear(j.Meant)", owned, "TestOldOwnerWakesLate"},
+	{"old tokens may say done", "internal/owner/book.go", "} else if c.Token != j.Token || j.Owner == \"\" {", "} else if false {", owned, "TestOldOwnerWakesLate"},
+	{"a second owner beside the first", "internal/owner/book.go", "case j.Owner != \"\":", "case false:", owned, "TestOldOwnerWakesLate"},
+	{"what may have run goes out again", "internal/owner/work.go", "case t == Unsafe && e == Perhaps:", "case false:", owned, "TestOwnersComeAndGo"},
+	{"flapping is not held off", "internal/owner/book.go", "if w.There && now >= r.at+hold {", "if w.There && now >= r.at+0*hold {", owned, "TestPlanner"},
+}
+
+func main() {
+	dir, err := os.MkdirTemp("", "bite")
+	if err == nil {
+		err = run(dir)
+	}
+	os.RemoveAll(dir)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "bite:", err)
+		os.Exit(1)
+	}
+}
+
+func run(dir string) error {
+	for _, part := range []string{"go.mod", "go.sum", "internal", "router"} {
+		if out, err := exec.Command("cp", "-r", part, dir).CombinedOutput(); err != nil {
+			return fmt.Errorf("%s: %w", out, err)
+		}
+	}
+	missed := 0
+	for _, f := range faults {
+		path := filepath.Join(dir, f.file)
+		good, err := os.ReadFile(path)
+		if err != nil {
+			return err
+		}
+		if strings.Count(string(good), f.from) != 1 {
+			return fmt.Errorf("%s: %s: the line to be put wrong is not there once", f.file, f.name)
+		}
+		if err := os.WriteFile(path, []byte(strings.Replace(string(good), f.from, f.to, 1)), 0o600); err != nil {
+			return err
+		}
+		vet := exec.Command("go", "build", f.dir)
+		vet.Dir = dir
+		if out, err := vet.CombinedOutput(); err != nil {
+			return fmt.Errorf("%s: does not build: %s", f.name, out)
+		}
+		test := exec.Command("go", "test", "-count=1", "-timeout", "120s", "-run", f.test, f.dir)
+		test.Dir = dir
+		out, err := test.CombinedOutput()
+		verdict, first := "caught", ""
+		if err == nil {
+			verdict = "MISSED"
+			missed++
+		}
+		for _, l := range strings.Split(string(out), "\n") {
+			if l = strings.TrimSpace(l); strings.HasPrefix(l, "--- FAIL") || strings.HasPrefix(l, "panic: ") {
+				first = l
+				break
+			}
+		}
+		fmt.Printf("%-42s %s  %s\n", f.name, verdict, first)
+		if err := os.WriteFile(path, good, 0o600); err != nil {
+			return err
+		}
+	}
+	if missed > 0 {
+		return fmt.Errorf("%d of %d faults are caught by nothing", missed, len(faults))
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/owner/owner_test.go
@@ -0,0 +1,348 @@
+package owner
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// play is a fleet in small: one log, members that follow it as late as chance has it, places that check tokens. It knows the
+// rules apart from the code: who may run what, by the order of the log alone.
+type play struct {
+	log     []func(*Book, uint64) // agreed, in their order
+	books   []*Book               // of each member, as far as it has followed
+	at      []int
+	works   []*Work
+	flight  []flying // effects on their way: they may be as late as can be
+	gates   map[string]*Gate
+	ran     map[string]int    // job and step: how often its effect happened
+	let     map[string]int    // how often the token alone let it happen
+	highest map[string]uint64 // at each place, of each job
+	t       *rapid.T
+}
+
+type flying struct {
+	by   int
+	do   Do
+	back bool // it has happened, and its answer is on its way
+	err  error
+}
+
+func (p *play) agree(kind string, data any) {
+	text := Encode(data)
+	p.log = append(p.log, func(b *Book, index uint64) { b.Apply(index, kind, text) })
+}
+
+func (p *play) member(name string, w Worker) {
+	p.log = append(p.log, func(b *Book, index uint64) { b.Member(index, name, w) })
+}
+
+// follow brings a member's view on by so many places, and has it act on what it sees.
+func (p *play) follow(i, places int) {
+	for range min(places, len(p.log)-p.at[i]) {
+		p.log[p.at[i]](p.books[i], uint64(p.at[i]+1))
+		p.at[i]++
+	}
+	p.take(i, p.works[i].See(p.books[i]))
+}
+
+func (p *play) take(i int, do []any) {
+	for _, a := range do {
+		switch a := a.(type) {
+		case Ask:
+			p.agree(a.Kind, a.Claim)
+		case Do:
+			p.flight = append(p.flight, flying{by: i, do: a})
+		}
+	}
+}
+
+// arrive has an effect happen at its place, or its answer come home.
+func (p *play) arrive(n int, lose bool) {
+	f := p.flight[n]
+	p.flight = append(p.flight[:n:n], p.flight[n+1:]...)
+	key := fmt.Sprint(f.do.Job.Name, "/", f.do.Step)
+	if f.back {
+		end := Ran
+		if lose {
+			end = Perhaps
+		} else if f.err != nil {
+			end = Refused
+		}
+		p.take(f.by, p.works[f.by].Ended(f.do.Job.Name, f.do.Token, f.do.Step, f.do.Job.Type, end))
+		return
+	}
+	if lose {
+		p.take(f.by, p.works[f.by].Ended(f.do.Job.Name, f.do.Token, f.do.Step, f.do.Job.Type, Perhaps))
+		return
+	}
+	_, again, err := p.gates["place"].Pass(f.do.Job.Name, f.do.Token, f.do.Step, f.do.Job.Type)
+	if f.err, f.back = err, true; err == nil {
+		if f.do.Token < p.highest[f.do.Job.Name] {
+			p.t.Fatalf("%s under token %d after %d", key, f.do.Token, p.highest[f.do.Job.Name])
+		}
+		p.highest[f.do.Job.Name] = f.do.Token
+		p.let[key]++
+		if !again {
+			p.ran[key]++
+		}
+	}
+	p.flight = append(p.flight, f)
+}
+
+// Owners are frozen, cut off, replaced and come back; effects and answers are as late as can be, or lost. A token never falls at
+// a place; an unsafe step is let in there once, by the log and the tokens alone, without what the place remembers of steps; in the
+// end, with every doubt settled by what is so, all is done.
+func TestOwnersComeAndGo(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		typ := Type(rapid.IntRange(0, 2).Draw(t, "type"))
+		p := &play{t: t, gates: map[string]*Gate{"place": NewGate(4)}, ran: map[string]int{}, let: map[string]int{}, highest: map[string]uint64{}}
+		names := []string{"a", "b", "c"}
+		inc := uint64(0)
+		there := map[string]Worker{}
+		for i, name := range names {
+			inc++
+			there[name] = Worker{Incarnation: inc, There: true}
+			p.member(name, there[name])
+			p.books, p.at, p.works = append(p.books, New(8)), append(p.at, 0), append(p.works, &Work{Name: name, Incarnation: inc})
+			_ = i
+		}
+		p.agree(Start, Job{Name: "j", Kind: "k", Steps: 6, Type: typ, Window: 2})
+		p.agree(Start, Job{Name: "k", Kind: "k", Steps: 4, Type: typ, Window: 3})
+		planner, now := &Planner{Hold: 10, Longest: 100}, 0.0
+		leader := func() *Book { // the whole log, as a leader has it
+			b := New(8)
+			for i, c := range p.log {
+				c(b, uint64(i+1))
+			}
+			return b
+		}
+		plan := func() {
+			now += 50
+			for _, c := range planner.Plan(now, leader()) {
+				p.agree(Grant, c)
+			}
+		}
+		for range rapid.IntRange(5, 60).Draw(t, "deeds") {
+			i := rapid.IntRange(0, 2).Draw(t, "who")
+			name := names[i]
+			switch rapid.IntRange(0, 8).Draw(t, "deed") {
+			case 0, 1:
+				p.follow(i, rapid.IntRange(1, 6).Draw(t, "places"))
+			case 2, 3, 4:
+				if len(p.flight) > 0 {
+					p.arrive(rapid.IntRange(0, len(p.flight)-1).Draw(t, "which"), rapid.IntRange(0, 5).Draw(t, "lost") == 0)
+				}
+			case 5:
+				plan()
+			case 6: // said to be lost, whatever it does
+				if w := there[name]; w.There {
+					w.There, w.Losses = false, w.Losses+1
+					there[name] = w
+					p.member(name, w)
+				}
+			case 7: // it is back, under the same incarnation
+				if w := there[name]; !w.There {
+					w.There = true
+					there[name] = w
+					p.member(name, w)
+				}
+			case 8: // a new process; the old one's effects are still on their way
+				inc++
+				there[name] = Worker{Incarnation: inc, There: true, Losses: there[name].Losses + 1}
+				p.member(name, there[name])
+				p.works[i] = &Work{Name: name, Incarnation: inc}
+			}
+		}
+		// Faults stop: all follow, what is on its way arrives, an operator settles what may have run by what is so.
+		for round := 0; ; round++ {
+			b := leader()
+			if b.Jobs["j"].State == Finished && b.Jobs["k"].State == Finished {
+				break
+			}
+			if round > 300 {
+				t.Fatalf("not done: %+v %+v", b.Jobs["j"], b.Jobs["k"])
+			}
+			for i, name := range names {
+				if !there[name].There {
+					w := there[name]
+					w.There = true
+					there[name] = w
+					p.member(name, w)
+				}
+				p.works[i].Again("j")
+				p.works[i].Again("k")
+				p.follow(i, len(p.log))
+			}
+			for len(p.flight) > 0 {
+				p.arrive(0, false)
+			}
+			plan()
+			for _, j := range leader().All() {
+				for step := range j.Doubt {
+					p.agree(Verdict, Claim{Job: j.Name, Step: step, Ran: p.ran[fmt.Sprint(j.Name, "/", step)] > 0})
+				}
+			}
+		}
+		for _, job := range []struct {
+			name  string
+			steps int
+		}{{"j", 6}, {"k", 4}} {
+			for step := range job.steps {
+				n := p.ran[fmt.Sprint(job.name, "/", step)]
+				if n == 0 || n > 1 && typ != Safe || typ == Unsafe && p.let[fmt.Sprint(job.name, "/", step)] != 1 {
+					t.Fatalf("step %d of %s, %v, ran %d times", step, job.name, typ, n)
+				}
+			}
+		}
+		// Alike states are written alike, and read back.
+		b, again := leader(), New(8)
+		if err := again.Load(b.Save()); err != nil || !bytes.Equal(again.Save(), b.Save()) {
+			t.Fatalf("read back: %v", err)
+		}
+	})
+}
+
+// The hard case, by hand: the owner is frozen after it checked that it owns, a successor works, and the old one's effect comes.
+func TestOldOwnerWakesLate(t *testing.T) {
+	for _, typ := range []Type{Safe, Keyed, Unsafe} {
+		b, g := New(4), NewGate(4)
+		b.Member(1, "a", Worker{Incarnation: 1, There: true})
+		b.Member(2, "b", Worker{Incarnation: 2, There: true})
+		b.Apply(3, Start, Encode(Job{Name: "j", Kind: "k", Steps: 3, Type: typ, Window: 1}))
+		b.Apply(4, Grant, Encode(Claim{Job: "j", Name: "a", Incarnation: 1}))
+		a := &Work{Name: "a", Incarnation: 1}
+		do := a.See(b)
+		if typ == Unsafe {
+			ask := do[0].(Ask)
+			b.Apply(5, ask.Kind, Encode(ask.Claim))
+			do = a.See(b)
+		}
+		held := do[0].(Do) // a is frozen with this in hand
+		if r := b.Apply(6, Grant, Encode(Claim{Job: "j", Name: "b", Incarnation: 2})); r != ErrOwned {
+			t.Errorf("%v: a second owner while the first is there: %v", typ, r)
+		}
+		b.Member(7, "a", Worker{Incarnation: 1, Losses: 1})
+		if r := b.Apply(8, Grant, Encode(Claim{Job: "j", Name: "b", Incarnation: 2})); r.(Job).Token <= held.Token {
+			t.Errorf("%v: token %d after %d", typ, r.(Job).Token, held.Token)
+		}
+		next := &Work{Name: "b", Incarnation: 2}
+		step := -1
+		for _, x := range next.See(b) {
+			if ask, ok := x.(Ask); ok {
+				b.Apply(9, ask.Kind, Encode(ask.Claim))
+				for _, x := range next.See(b) {
+					step = x.(Do).Step
+				}
+			} else {
+				step = x.(Do).Step
+			}
+		}
+		if _, _, err := g.Pass("j", b.Jobs["j"].Token, max(step, 1), typ); err != nil {
+			t.Errorf("%v: the new owner is refused: %v", typ, err)
+		}
+		var late Late
+		if _, _, err := g.Pass("j", held.Token, held.Step, typ); !errors.As(err, &late) || late.Newer != b.Jobs["j"].Token {
+			t.Errorf("%v: the old one's effect: %v", typ, err)
+		}
+		if _, doubt := b.Jobs["j"].Doubt[held.Step]; doubt != (typ == Unsafe) || typ == Unsafe && step == held.Step {
+			t.Errorf("%v: what may have run is sent again as step %d; in doubt: %t", typ, step, doubt)
+		}
+		if r := b.Apply(10, Did, Encode(Claim{Job: "j", Token: held.Token, Step: held.Step})); (r == ErrOld) != (typ != Unsafe) {
+			t.Errorf("%v: the old one's late word: %v", typ, r)
+		}
+	}
+}
+
+// Work is spread by load; one that is lost again and again is given nothing for twice as long each time; what comes back by
+// itself may have been granted to another meanwhile.
+func TestPlanner(t *testing.T) {
+	b, p := New(8), &Planner{Hold: 1000, Longest: 8000}
+	for i, name := range []string{"a", "b", "c"} {
+		b.Member(uint64(i+1), name, Worker{Incarnation: uint64(i + 1), There: true})
+	}
+	for i := range 6 {
+		b.Apply(uint64(10+i), Start, Encode(Job{Name: fmt.Sprint("j", i), Kind: "k", Steps: 1, Window: 1}))
+	}
+	load := map[string]int{}
+	for i, c := range p.Plan(0, b) {
+		load[c.Name]++
+		b.Apply(uint64(20+i), Grant, Encode(c))
+	}
+	if fmt.Sprint(load) != "map[a:2 b:2 c:2]" {
+		t.Errorf("spread %v", load)
+	}
+	at := 0.0
+	for loss := uint64(1); loss <= 5; loss++ {
+		b.Member(100+loss, "a", Worker{Incarnation: 1, Losses: loss})
+		for _, c := range p.Plan(at, b) {
+			b.Apply(110+loss, Grant, Encode(c))
+		}
+		b.Member(120+loss, "a", Worker{Incarnation: 1, There: true, Losses: loss})
+		p.Plan(at, b)
+		name := fmt.Sprint("new", loss)
+		for _, other := range []string{"b", "c"} { // both have more to do than a
+			if j := b.Jobs["j0"]; j.Owner == "a" {
+				t.Errorf("%s owns beside its loss", other)
+			}
+		}
+		hold := min(8000, 1000*float64(uint64(1)<<(loss-1)))
+		b.Apply(130+loss, Start, Encode(Job{Name: name, Kind: "k", Steps: 1, Window: 1}))
+		if c := p.Plan(at+hold-1, b); len(c) != 1 || c[0].Name == "a" {
+			t.Errorf("after %d losses, within %.0f ms: %v", loss, hold, c)
+		}
+		if c := p.Plan(at+hold, b); len(c) != 1 || c[0].Name != "a" {
+			t.Errorf("after %d losses and %.0f ms: %v", loss, hold, c)
+		}
+		b.Apply(140+loss, Stop, Encode(Claim{Job: name}))
+		at += hold + 1
+	}
+}
+
+// What is asked for wrongly changes nothing, by name; memory is bounded.
+func TestRefusals(t *testing.T) {
+	b := New(2)
+	b.Member(1, "a", Worker{Incarnation: 1, There: true})
+	job := Job{Name: "j", Kind: "k", Steps: 2, Type: Unsafe, Window: 2}
+	for i, c := range []struct {
+		kind string
+		data any
+		want error
+	}{
+		{Start, Job{Name: "j", Kind: "k", Steps: 0, Window: 1}, ErrBad}, {Grant, Claim{Job: "j"}, ErrUnknown}, {Start, job, nil}, {Start, job, nil},
+		{Start, Job{Name: "j", Kind: "other", Steps: 2, Type: Unsafe, Window: 2}, ErrOther},
+		{Grant, Claim{Job: "j", Name: "b", Incarnation: 1}, ErrAbsent}, {Grant, Claim{Job: "j", Name: "a", Incarnation: 2}, ErrAbsent},
+		{Mean, Claim{Job: "j", Token: 0}, ErrOld}, {Grant, Claim{Job: "j", Name: "a", Incarnation: 1}, nil},
+		{Did, Claim{Job: "j", Token: 1}, ErrBad}, {Mean, Claim{Job: "j", Token: 1}, nil}, {Mean, Claim{Job: "j", Token: 1}, ErrSent},
+		{Verdict, Claim{Job: "j", Ran: true}, ErrSent}, {Release, Claim{Job: "j", Token: 7}, ErrOld}, {Release, Claim{Job: "j", Token: 1}, nil},
+		{Mean, Claim{Job: "j", Token: 1, Step: 1}, ErrOld}, {Grant, Claim{Job: "j", Name: "a", Incarnation: 1}, nil},
+		{Mean, Claim{Job: "j", Token: 2, Step: 0}, ErrSent}, {Verdict, Claim{Job: "j"}, nil}, {Mean, Claim{Job: "j", Token: 2, Step: 0}, nil},
+		{Unsure, Claim{Job: "j", Token: 1, Step: 0}, ErrOld}, {Did, Claim{Job: "j", Token: 2, Step: 0}, nil}, {Did, Claim{Job: "j", Token: 2, Step: 0}, nil},
+		{Start, Job{Name: "k", Steps: 1, Window: 1}, nil}, {Start, Job{Name: "l", Steps: 1, Window: 1}, ErrFull},
+		{Stop, Claim{Job: "k"}, nil}, {Stop, Claim{Job: "k"}, ErrOver}, {Start, Job{Name: "l", Steps: 1, Window: 1}, nil}, {"odd", Claim{Job: "j"}, ErrBad},
+	} {
+		got, _ := b.Apply(uint64(10+i), c.kind, Encode(c.data)).(error)
+		if got != c.want {
+			t.Errorf("%d: %s %+v: %v, want %v", i, c.kind, c.data, got, c.want)
+		}
+	}
+	g := NewGate(2)
+	for i := range uint64(10) {
+		if _, _, err := g.Pass(fmt.Sprint("j", i), i+1, 0, Safe); err != nil || len(g.seen) > 2 {
+			t.Errorf("job %d: %v, %d remembered", i, err, len(g.seen))
+		}
+	}
+	if _, _, err := g.Pass("j0", 1, 0, Safe); err == nil {
+		t.Error("a token of a job that was forgotten passes")
+	}
+	g = NewGate(2)
+	if g.Restore("j", 9); g.Highest("j") != 9 {
+		t.Error("not put back")
+	}
+	if _, _, err := g.Pass("j", 8, 0, Safe); err == nil {
+		t.Error("after a restart an old token passes")
+	}
+}
--- a/internal/quorum/peers.go
+++ b/internal/quorum/peers.go
@@ -239,6 +239,7 @@
 		for _, name := range slices.Sorted(maps.Keys(n.set.Peers)) {
 			n.send(name, Frame{Kind: Hello, Nonce: n.nonce})
 		}
+		n.found() // one that founds alone hears nobody's hello
 		return
 	}
 	own := Renewal{Incarnation: n.inc, Applied: n.applied}
--- a/internal/quorum/quorum_test.go
+++ b/internal/quorum/quorum_test.go
@@ -427,3 +427,13 @@
 	}
 	s.same()
 }
+
+// One gateway may agree with itself, and others follow it.
+func TestAlone(t *testing.T) {
+	s := begun(t, 33, 1, 2)
+	token := s.propose("f0", "one")
+	s.play(2000, nil)
+	if o, ok := s.all["f0"].outcome[token]; !ok || o.Err != nil || len(s.all["f1"].book.Lines) != 1 {
+		t.Errorf("outcome %v %v, lines at another %v", ok, o, s.all["f1"].book.Lines)
+	}
+}
