A voter that is gone for long is replaced by one that was brought up, in one act

Need: a voter whose store is lost, or that is gone for long, counted in the majority for ever: the next loss stopped all that is agreed. Change: quorum/council.go: the leader brings one up without a vote, of the club with the fewest, and moves the vote by joint consensus; one at a time, never without a majority beside the one that is gone, not before it has led for `replace`. Who was replaced while away is told by a peer and follows, as somebody else.

--- a/deploy/poppymill.hcl
+++ b/deploy/poppymill.hcl
@@ -62,6 +62,7 @@
 #   election  = "1s"                      # at least five beats
 #   lease     = "3s"                      # at least two elections
 #   slow_disk = "500ms"
+#   replace   = "1m"                      # for how long a voter must be gone before another gets its vote
 #   keep      = 2000                      # entries kept for those that lag
 #   members   = 600                       # names remembered
 #   peer "g2" {
--- /dev/null
+++ b/internal/quorum/council.go
@@ -0,0 +1,163 @@
+package quorum
+
+import (
+	"maps"
+	"slices"
+
+	"go.etcd.io/raft/v3/raftpb"
+)
+
+// council is what a leader has in hand of who votes: one change at a time, and none before it has led for as long as a voter
+// must be gone, so that a restart of all replaces nobody.
+type council struct {
+	began float64
+	gone  map[uint64]float64 // since when each voter is, by identity
+	asked float64            // when the last change was asked for
+	since float64            // when the one that is brought up was begun with
+}
+
+// part is what an identity has in the council.
+type part int
+
+const (
+	none part = iota
+	learns
+	votes
+)
+
+func (n *Node) votes(id uint64) part {
+	switch {
+	case slices.Contains(n.conf.GetVoters(), id) || slices.Contains(n.conf.GetVotersOutgoing(), id):
+		return votes
+	case slices.Contains(n.conf.GetLearners(), id) || slices.Contains(n.conf.GetLearnersNext(), id):
+		return learns
+	}
+	return none
+}
+
+// choose replaces a voter that is gone for long: another is brought up without a vote, and gets it in the one act that takes it
+// from the other. Never where a majority of those that vote is not there without it, as the change itself needs one.
+func (n *Node) choose() {
+	if n.set.Replace <= 0 || !n.leads() || len(n.conf.GetVotersOutgoing()) > 0 || n.now < n.council.asked+n.set.Election {
+		return
+	}
+	progress := n.raft.Status().Progress
+	here := 0
+	if n.council.gone == nil {
+		n.council.gone = map[uint64]float64{}
+	}
+	var gone uint64
+	for _, id := range n.conf.GetVoters() {
+		m := n.of(id)
+		if id == n.id.ID || m != nil && m.Standing == Joined && progress[id].RecentActive {
+			here++
+			delete(n.council.gone, id)
+			continue
+		}
+		at, known := n.council.gone[id]
+		if !known {
+			n.council.gone[id], at = n.now, n.now
+		}
+		if gone == 0 && n.now >= max(at, n.council.began)+n.set.Replace {
+			gone = id
+		}
+	}
+	if learners := n.conf.GetLearners(); len(learners) > 0 {
+		id := learners[0]
+		m := n.of(id)
+		p := progress[id]
+		switch {
+		case m == nil || m.Standing != Joined || gone == 0 || n.now > n.council.since+4*n.set.Replace:
+			// It went itself, or the one that it was to stand for is back.
+			n.change("is not brought up any more", id, raftpb.ConfChangeType_ConfChangeRemoveNode)
+		case 2*here > len(n.conf.GetVoters()) && p.Match+16 > n.applied && p.Match > 0:
+			n.change("votes in the place of another", id, raftpb.ConfChangeType_ConfChangeAddNode, gone)
+		}
+		return
+	}
+	if gone == 0 || 2*here <= len(n.conf.GetVoters()) {
+		return
+	}
+	zones := map[string]int{}
+	for _, id := range n.conf.GetVoters() {
+		if m := n.of(id); m != nil && id != gone {
+			zones[m.Zone]++
+		}
+	}
+	var best *Member
+	for _, m := range n.members.All() {
+		if m.Standing == Joined && m.Identity != 0 && n.votes(m.Identity) == none && (best == nil || zones[m.Zone] < zones[best.Zone]) {
+			best = m
+		}
+	}
+	if best == nil {
+		return
+	}
+	n.council.since = n.now
+	n.change("is brought up to vote", best.Identity, raftpb.ConfChangeType_ConfChangeAddLearnerNode)
+}
+
+// welcome makes a snapshot for one that is brought up: it names it, without which it could not be taken, and holds the state as
+// it is now. The log from its beginning would have it live through grants long past.
+func (n *Node) welcome() {
+	if !n.leads() || len(n.conf.GetLearners()) == 0 {
+		return
+	}
+	if s, err := n.log.CreateSnapshot(n.applied, n.conf, n.state()); err == nil {
+		n.save(Record{Snapshot: s, Compact: initial}, nil)
+	}
+}
+
+// of is the member whose store an identity is; nil where its store is lost, or its name is forgotten.
+func (n *Node) of(id uint64) *Member {
+	for _, m := range n.members.All() {
+		if m.Identity == id {
+			return m
+		}
+	}
+	return nil
+}
+
+func (n *Node) change(what string, id uint64, how raftpb.ConfChangeType, remove ...uint64) {
+	c := &raftpb.ConfChangeV2{Changes: []*raftpb.ConfChangeSingle{{Type: &how, NodeId: &id}}}
+	for _, r := range remove {
+		gone := raftpb.ConfChangeType_ConfChangeRemoveNode
+		c.Changes = append(c.Changes, &raftpb.ConfChangeSingle{Type: &gone, NodeId: &r})
+	}
+	n.council.asked = n.now
+	if err := n.raft.ProposeConfChange(c); err != nil {
+		return
+	}
+	name := n.voters()[id]
+	if m := n.of(id); m != nil {
+		name = m.Name
+	}
+	n.say("council: "+what, "name", name, "voters", len(slices.Collect(maps.Keys(n.voters()))))
+}
+
+// removed is word that this identity votes no more. It is over for good: who had it follows, as somebody else.
+func (n *Node) removed(from string, f Frame) {
+	if len(f.Voters) == 0 {
+		if n.raft != nil && n.conf != nil && n.votes(f.ID) == none {
+			n.send(from, Frame{Kind: Removed, Voters: n.conf.Voters, Applied: n.applied})
+		}
+		return
+	}
+	if n.raft == nil || n.saving != nil || slices.Contains(f.Voters, n.id.ID) || f.Applied < n.applied || n.leads() {
+		return
+	}
+	n.say("this gateway's vote was given to another while it was away: it follows, as somebody else")
+	n.id = Identity{ID: uint64(n.chance.Next())<<31 | uint64(n.chance.Next())>>1 | 1, Name: n.set.Name}
+	n.raft, n.log, n.leader, n.host = nil, nil, "", ""
+	n.conf = &raftpb.ConfState{Voters: f.Voters}
+	n.applied = 0
+	n.inc, n.seq, n.joining = 0, 0, n.now // its store is another, so it joins as another
+	n.nonce += 2
+	for _, p := range n.open { // they may have been agreed: under another incarnation they would count once more
+		if p.token != 0 {
+			n.do(Outcome{Token: p.token, Err: ErrGivenUp})
+		}
+	}
+	n.open = nil
+	n.save(Record{Identity: &n.id, Anew: true}, nil)
+}
--- a/internal/quorum/door.go
+++ b/internal/quorum/door.go
@@ -25,12 +25,13 @@
 	Pending  int               // commands of this gateway that wait to be agreed at most
 	Retry    float64           // ms after which a command that was not agreed is sent again
 	Seed     uint64
-	Diskless bool // it has no store, and only follows
+	Replace  float64 // ms for which a voter must be gone before another gets its vote; 0: never
+	Diskless bool    // it has no store, and only follows
 }
 
 // Defaults are settings for a site on a local network.
 func Defaults() Settings {
-	return Settings{Beat: 100, Election: 1000, Lease: 3000, SlowDisk: 500, Keep: 2000, Members: 600, Pending: 256, Retry: 700}
+	return Settings{Beat: 100, Election: 1000, Lease: 3000, SlowDisk: 500, Keep: 2000, Members: 600, Pending: 256, Retry: 700, Replace: 60_000}
 }
 
 // Store is what a gateway keeps on its disk. The zero value is an empty store.
@@ -115,6 +116,7 @@
 	Hard     *raftpb.HardState
 	Snapshot *raftpb.Snapshot
 	Entries  []*raftpb.Entry // take the place of all from their first index on
+	Anew     bool            // all of raft's goes first: this store begins again, under the identity given here
 	Compact  uint64          // entries up to here, and older snapshots, may go
 }
 
--- a/internal/quorum/drive/block.go
+++ b/internal/quorum/drive/block.go
@@ -33,6 +33,7 @@
 		operator.Attr("election", operator.Span(&s.Election, 50*time.Millisecond, time.Minute)),
 		operator.Attr("lease", operator.Span(&s.Lease, 100*time.Millisecond, 10*time.Minute)),
 		operator.Attr("slow_disk", operator.Span(&s.SlowDisk, time.Millisecond, time.Minute)),
+		operator.Attr("replace", operator.Span(&s.Replace, 0, 24*time.Hour)),
 		operator.Attr("keep", operator.Whole(&s.Keep, 16, 1_000_000)),
 		operator.Attr("members", operator.Whole(&s.Members, 3, 5000)),
 		operator.Block("peer", []string{"name"}, func(labels []string, _ int) ([]operator.Field, error) {
--- a/internal/quorum/drive/store.go
+++ b/internal/quorum/drive/store.go
@@ -206,6 +206,11 @@
 	s.step("before")
 	err = s.db.Update(func(tx *bolt.Tx) error {
 		meta, entries := tx.Bucket(metaBucket), tx.Bucket(entriesBucket)
+		if r.Anew {
+			if err := errors.Join(meta.Delete(hardKey), meta.Delete(snapshotKey), cut(entries, 0, ^uint64(0))); err != nil {
+				return err
+			}
+		}
 		if r.Identity != nil {
 			b, err := cbor.Marshal(r.Identity)
 			if err = errors.Join(err, put(meta, identityKey, b)); err != nil {
--- a/internal/quorum/frame.go
+++ b/internal/quorum/frame.go
@@ -14,14 +14,15 @@
 
 // The kinds of frames.
 const (
-	Hello  Kind = iota + 1 // who I am, and whether I belong to a fleet; answered by a Hello that repeats its nonce
-	Found                  // a founding to take up
-	Raft                   // a message of raft's
-	Ask                    // commands to be agreed, on their way to the leader
-	Renew                  // renewals of leases, gathered; and how far the sender has followed
-	Follow                 // entries, or a snapshot, for one that follows; also who leads
-	Yield                  // a newer process of your name is there
-	Status                 // a person's question, and its answer
+	Hello   Kind = iota + 1 // who I am, and whether I belong to a fleet; answered by a Hello that repeats its nonce
+	Found                   // a founding to take up
+	Raft                    // a message of raft's
+	Ask                     // commands to be agreed, on their way to the leader
+	Renew                   // renewals of leases, gathered; and how far the sender has followed
+	Follow                  // entries, or a snapshot, for one that follows; also who leads
+	Yield                   // a newer process of your name is there
+	Removed                 // you vote no more, as your identity was replaced: Voters, Applied
+	Status                  // a person's question, and its answer
 )
 
 // Frame is all that goes between two peers. What is not used by its kind is empty.
--- a/internal/quorum/node.go
+++ b/internal/quorum/node.go
@@ -51,6 +51,7 @@
 	fresh   map[string]hello   // founders that said they have nothing
 	renewed map[uint64]float64 // when each was last heard of; the leader's
 	gather  map[uint64]Renewal // on their way to the leader
+	council council            // changes of who votes; the leader's
 	said    map[uint64]float64 // commands of the leader's own on their way, by incarnation and kind
 }
 
@@ -357,7 +358,11 @@
 			}
 			if n.now >= n.voteAt {
 				n.voteAt = n.now + n.set.Election*(0.5+n.chance.Below())
-				if !n.slow {
+				if n.votes(n.id.ID) != votes {
+					// It was being brought up, or had its vote taken, and hears of nobody: it asks whether it still belongs.
+					n.pickHost()
+					n.send(n.host, Frame{Kind: Removed})
+				} else if !n.slow {
 					n.raft.Campaign()
 				}
 			}
@@ -443,6 +448,7 @@
 			n.conf = n.raft.ApplyConfChange(&c)
 		}
 		n.applied = e.GetIndex()
+		n.welcome()
 	case raftpb.EntryType_EntryConfChange:
 		var c raftpb.ConfChange
 		if proto.Unmarshal(e.Data, &c) == nil {
@@ -553,6 +559,7 @@
 			for _, m := range n.members.Names {
 				n.renewed[m.Incarnation] = n.now
 			}
+			n.council = council{began: n.now}
 			n.beatAt = n.now
 			if n.slow {
 				n.handOver()
--- a/internal/quorum/peers.go
+++ b/internal/quorum/peers.go
@@ -37,6 +37,8 @@
 		n.renewal(from, f)
 	case Follow:
 		n.follow(from, f)
+	case Removed:
+		n.removed(from, f)
 	case Yield:
 		if f.Nonce == n.nonce {
 			n.yield()
@@ -111,6 +113,12 @@
 	if n.dead || n.founded == nil || proto.Unmarshal(f.Data, &m) != nil || m.GetTo() != n.id.ID || m.GetFrom() != f.ID {
 		return
 	}
+	if n.raft != nil && n.conf != nil && n.leader != "" && n.votes(f.ID) == none && m.GetType() != raftpb.MessageType_MsgApp &&
+		m.GetType() != raftpb.MessageType_MsgSnap && m.GetType() != raftpb.MessageType_MsgHeartbeat {
+		// It was replaced while it was away, and looks for votes that nobody has for it.
+		n.send(from, Frame{Kind: Removed, Voters: n.conf.Voters, Applied: n.applied})
+		return
+	}
 	if n.raft == nil {
 		// A follower that the leader has begun to bring up as a voter.
 		if t := m.GetType(); t != raftpb.MessageType_MsgApp && t != raftpb.MessageType_MsgSnap && t != raftpb.MessageType_MsgHeartbeat || n.saving != nil {
@@ -354,6 +362,7 @@
 			delete(n.renewed, inc)
 		}
 	}
+	n.choose()
 	for key, at := range n.said {
 		if n.now > at+2*n.set.Election {
 			delete(n.said, key)
--- a/internal/quorum/quorum_test.go
+++ b/internal/quorum/quorum_test.go
@@ -248,7 +248,14 @@
 // same everywhere, throughout; once faults stop all are level, and no line counts twice or out of its order.
 func TestFaults(t *testing.T) {
 	for seed := range uint64(20) {
-		s := begun(t, 100+seed, 3+2*int(seed%2), 2)
+		s := newSim(t, 100+seed, 3+2*int(seed%2), 2)
+		for _, g := range s.all {
+			g.set.Replace = []float64{0, 2500, 8000}[seed%3]
+		}
+		s.start(s.names...)
+		if !s.play(20_000, s.level) {
+			t.Fatalf("seed %d: not level", seed)
+		}
 		s.loss, s.twice = 0.05, 0.05
 		n := 0
 		for range 25 {
@@ -437,3 +444,93 @@
 		t.Errorf("outcome %v %v, lines at another %v", ok, o, s.all["f1"].book.Lines)
 	}
 }
+
+// A voter whose store is lost for good is replaced by one of another club that was brought up first, so that the next loss
+// leaves a majority; what comes back after its vote was given away follows, as somebody else. Never two at once.
+func TestVoterReplaced(t *testing.T) {
+	for seed := range uint64(5) {
+		s := newSim(t, 300+seed, 3, 4)
+		for _, g := range s.all {
+			g.set.Replace = 4000
+		}
+		s.start(s.names...)
+		if !s.play(20_000, s.level) {
+			t.Fatal("not level")
+		}
+		lead := s.leaders()[0]
+		var others []string
+		for _, name := range []string{"v0", "v1", "v2"} {
+			if name != lead {
+				others = append(others, name)
+			}
+		}
+		lost, late := others[0], others[1]
+		s.kill(lost)
+		voting := func(name string) bool {
+			g := s.all[name]
+			return g.up && g.node.raft != nil && g.node.votes(g.node.id.ID) == votes
+		}
+		count := func() (n int) {
+			for _, name := range s.names {
+				if voting(name) {
+					n++
+				}
+			}
+			return n
+		}
+		if !s.play(40_000, func() bool { return count() == 3 }) {
+			t.Fatalf("seed %d: nobody took the vote of %s", seed, lost)
+		}
+		zones := map[string]bool{}
+		for _, name := range s.names {
+			if voting(name) {
+				zones[s.all[name].set.Zone] = true
+			}
+		}
+		if len(zones) != 3 {
+			t.Errorf("seed %d: the voters are of clubs %v", seed, zones)
+		}
+		s.play(3000, nil)
+		was := s.all[lost].disk.identity
+		s.kill(late)
+		token := s.propose(lead, "with two of three")
+		s.play(8000, nil)
+		if o, ok := s.all[lead].outcome[token]; !ok || o.Err != nil {
+			t.Errorf("seed %d: after the next loss nothing is agreed: %v", seed, o)
+		}
+		s.start(lost, late)
+		if !s.play(30_000, s.level) {
+			t.Errorf("seed %d: not level", seed)
+		}
+		s.play(3000, nil)
+		if g := s.all[lost]; g.disk.identity == was || g.node.raft != nil || count() != 3 {
+			t.Errorf("seed %d: %s came back as %v after %v, votes %t, %d voters", seed, lost, g.disk.identity, was, g.node.raft != nil, count())
+		}
+		s.same()
+	}
+}
+
+// After a restart of all nobody is replaced, however long the others took to come back.
+func TestMassRestartReplacesNobody(t *testing.T) {
+	s := newSim(t, 320, 5, 3)
+	for _, g := range s.all {
+		g.set.Replace = 4000
+	}
+	s.start(s.names...)
+	s.play(15_000, s.level)
+	s.kill(s.names...)
+	s.play(20_000, nil)
+	for _, name := range s.names {
+		s.start(name)
+		s.play(500, nil)
+	}
+	s.play(20_000, nil)
+	if c := s.all["v0"].node.conf; len(c.Voters) != 5 || len(c.Learners) != 0 {
+		t.Errorf("after a restart of all: %v", c)
+	}
+	for _, name := range s.names[:5] {
+		if s.all[name].node.votes(s.all[name].node.id.ID) != votes {
+			t.Errorf("%s votes no more", name)
+		}
+	}
+}
--- a/internal/quorum/sim_test.go
+++ b/internal/quorum/sim_test.go
@@ -60,6 +60,9 @@
 }
 
 func (d *disk) put(r Record) {
+	if r.Anew {
+		d.hard, d.snapshot, d.entries = nil, nil, nil
+	}
 	if r.Identity != nil {
 		d.identity = *r.Identity
 	}
--- a/internal/rehearsal/script/script.go
+++ b/internal/rehearsal/script/script.go
@@ -130,6 +130,7 @@
 	On                    bool
 	Voters                int // the first so many gateways
 	Beat, Election, Lease float64
+	Replace               float64 // ms that a voter must be gone before another has its vote
 }
 
 // Phase is a stretch of time with its traffic and what is expected of it.
--- a/internal/rehearsal/sockets/quorum_test.go
+++ b/internal/rehearsal/sockets/quorum_test.go
@@ -46,12 +46,15 @@
 }
 
 // agree plays faults against gateways that agree, as real processes; whatever they do, no download is lost for it.
-func agree(t *testing.T, faults func(c *council)) {
+func agree(t *testing.T, change func(*script.Script), faults func(c *council)) {
 	t.Helper()
 	s, err := script.Parse([]byte(agreeing), "agreeing.hcl")
 	if err != nil {
 		t.Fatal(err)
 	}
+	if change != nil {
+		change(s)
+	}
 	audit := auditor.New(s, Slack)
 	stage, err := New(s, Options{Binary: binary, Logs: t.TempDir(), Facts: audit.See})
 	if err != nil {
@@ -140,7 +143,7 @@
 // The leader is frozen past its lease: another leads in a newer term, the log says that it is silent, and all say the same.
 // When it wakes it leads no more, and it is there again under its old incarnation.
 func TestLeaderFrozen(t *testing.T) {
-	agree(t, func(c *council) {
+	agree(t, nil, func(c *council) {
 		before := c.until("all level", c.level)
 		old := leader(before)
 		c.happen(script.Event{Do: "freeze", Name: c.names[old], For: 4000})
@@ -158,7 +161,7 @@
 // One voter's disk is lost with it, the others' words reach a second voter one way only, and the third is restarted: what comes
 // back without its disk is somebody else, and follows; the fleet agrees again once the ways are mended.
 func TestDiskLostAndOneWay(t *testing.T) {
-	agree(t, func(c *council) {
+	agree(t, nil, func(c *council) {
 		before := c.until("all level", c.level)
 		old := leader(before)
 		lost, cut := (old+1)%3, (old+2)%3
@@ -182,3 +185,28 @@
 		}
 	})
 }
+
+// A voter is lost for good, with its disk: another is brought up and has its vote, so that the next loss leaves a majority, which
+// agrees on a restart that it sees.
+func TestVoteGoesOn(t *testing.T) {
+	agree(t, func(s *script.Script) { s.Quorum.Replace = 2000 }, func(c *council) {
+		before := c.until("all level", c.level)
+		old := leader(before)
+		lost, next := (old+1)%3, (old+2)%3
+		c.happen(script.Event{Do: "kill", Name: c.names[lost], For: 50_000, Disk: "lost"})
+		taken := c.until("another has its vote", func(all []*quorum.Report) bool {
+			votes := 0
+			for i, r := range all {
+				if i != lost && r != nil && (r.Role == "leader" || r.Role == "voter") && len(r.Voters) == 3 && !member(r, c.names[lost]).Votes {
+					votes++
+				}
+			}
+			return votes == 3 && leader(all) >= 0
+		})
+		c.happen(script.Event{Do: "kill", Name: c.names[next], For: 50_000})
+		c.until("with two of three, a loss is agreed on", func(all []*quorum.Report) bool {
+			l := leader(all)
+			return l >= 0 && l != next && all[l].Term >= taken[leader(taken)].Term && member(all[l], c.names[next]).Standing == "silent"
+		})
+	})
+}
--- a/internal/rehearsal/sockets/relay.go
+++ b/internal/rehearsal/sockets/relay.go
@@ -61,8 +61,8 @@
 // block is what the operator of a gateway says of the agreement.
 func (r *relays) block(n int, q script.Quorum, name func(int) string) string {
 	var founders []string
-	text := fmt.Sprintf("quorum {\n  listen = %q\n  store = %q\n  beat = \"%.0fms\"\n  election = \"%.0fms\"\n  lease = \"%.0fms\"\n",
-		r.listen[n], (&process{stage: r.stage, number: n}).store(), q.Beat, q.Election, q.Lease)
+	text := fmt.Sprintf("quorum {\n  listen = %q\n  store = %q\n  beat = \"%.0fms\"\n  election = \"%.0fms\"\n  lease = \"%.0fms\"\n  replace = \"%.0fms\"\n",
+		r.listen[n], (&process{stage: r.stage, number: n}).store(), q.Beat, q.Election, q.Lease, q.Replace)
 	for i, l := range r.by[n] {
 		if i < q.Voters {
 			founders = append(founders, fmt.Sprintf("%q", name(i)))
