Two rehearsals of gateways that agree; nothing is lost while the first one starts; `stop` goes

Need: faults between processes as scripts for operators; nine of 47,315 downloads lost at 4,000 a second, not explained. Seen: followed by id, 105 of 48,012 lost without retries, all wanted in the first 26 ms, before a gateway was up, none of them ever sent (World.ask with nobody to choose); every download that a gateway took was answered. Excluded: the gateways (taken is fulfilled and open), the boxes.

--- a/internal/quorum/quorum_test.go
+++ b/internal/quorum/quorum_test.go
@@ -321,6 +321,7 @@
 func TestOldWordFoundsNothing(t *testing.T) {
 	s := newSim(t, 13, 3, 0)
 	s.start("v0")
+	s.play(50, nil) // its identity is on its disk
 	for _, name := range []string{"v1", "v2"} {
 		s.all["v0"].handle(Received{From: name, Frame: Frame{Kind: Hello, ID: 77, Nonce: 5, Echo: s.all["v0"].node.nonce + 2}})
 	}
--- a/internal/rehearsal/script/fields.go
+++ b/internal/rehearsal/script/fields.go
@@ -139,7 +139,7 @@
 func (e *Event) whole() error {
 	uses := map[string]string{"slow": "factor", "traffic": "factor", "large": "factor share", "fail": "share", "lose": "share", "cut": "share",
 		"once": "share", "lag": "delay", "storm": "kiosks club member", "purge": "share groups", "replace": "over same_address", "drain": "over",
-		"kill": "over disk", "part": "one_way", "restart": "over", "stop": "over", "forge": "factor"}
+		"kill": "over disk", "part": "one_way", "restart": "over", "forge": "factor"}
 	given := map[string]bool{"factor": e.Factor != 0, "delay": e.Delay != 0, "kiosks": e.Kiosks != 0, "club": e.Club != "",
 		"groups": e.Groups != 0, "over": e.Over != 0, "same_address": e.SameAddress, "member": e.Member != "",
 		"one_way": e.OneWay, "disk": e.Disk != ""}
--- a/internal/rehearsal/script/script.go
+++ b/internal/rehearsal/script/script.go
@@ -175,7 +175,7 @@
 var (
 	boxes = []string{"edge", "hub", "core"}
 	deeds = map[string][]string{
-		"stop": boxes, "kill": {"edge", "hub", "core", "gateway"}, "vanish": boxes, "silent": boxes, "pause": boxes, "slow": boxes,
+		"kill": {"edge", "hub", "core", "gateway"}, "vanish": boxes, "silent": boxes, "pause": boxes, "slow": boxes,
 		"fail": boxes, "lose": boxes, "cut": boxes, "replace": {"edge", "hub"}, "drain": {"edge", "hub"}, "restart": {"gateway"},
 		"hup": {"gateway"}, "freeze": {"gateway"}, "part": {"gateway"}, "lag": {"list"}, "purge": {"objects"}, "break": {"channel"}, "mute": {"channel"}, "repeat": {"channel"},
 		"traffic": {"clients"}, "storm": {"clients"}, "once": {"clients"}, "large": {"clients"},
--- a/internal/rehearsal/virtual/virtual_test.go
+++ b/internal/rehearsal/virtual/virtual_test.go
@@ -47,6 +47,12 @@
 				if err != nil {
 					t.Fatal(err)
 				}
+				if s.Quorum.On { // gateways that agree are played by package sockets alone, and told so here
+					if _, err := Run(s, Options{}); err == nil {
+						t.Error("played in virtual time")
+					}
+					return
+				}
 				r, _, stats := play(t, s, Tamper{})
 				if err := r.JSON(&texts[i]); err != nil {
 					t.Fatal(err)
--- a/internal/rehearsal/world/happen.go
+++ b/internal/rehearsal/world/happen.go
@@ -67,12 +67,6 @@
 	case "kill":
 		b.die()
 		w.goes(e, b)
-	case "stop": // what is open is answered first, as far as that takes no more than a second
-		w.act(Shut{Address: b.addr})
-		w.after(1000, func() {
-			b.die()
-			w.goes(e, b)
-		})
 	case "vanish":
 		b.vanished = true
 		w.act(Shut{Address: b.addr, Mute: true})
--- a/internal/rehearsal/world/world.go
+++ b/internal/rehearsal/world/world.go
@@ -33,6 +33,7 @@
 	list      directory
 	purged    map[string][]float64 // by object, when
 	groups    [256][]float64
+	began     bool      // a gateway has been ready
 	traffic   []float64 // factors in force
 	once      float64
 	large     *large
@@ -172,6 +173,7 @@
 			w.unanswered(a, map[bool]string{true: "refused", false: "broken"}[e.Refused])
 		}
 	case Ready:
+		w.began = true
 		w.ready(w.gateways[e.Gateway])
 	case Exited:
 		w.exited(w.gateways[e.Gateway], e.Crashed)
