--- a/router/router.go
+++ b/router/router.go
@@ -385,8 +385,8 @@
 	if at, source := p.at.share(r.now), p.source.share(r.now); e.Status != NotConnected && e.Status != Broken {
 		p.blame = source / (at + source)
 	}
-	// Turned away after as long as a connection may take, a fill tells that its source can't be reached: that is not
-	// the link, and not the edge cache.
+	// Turned away after as long as a connection may take, a fill tells that its source can't be reached: that
+	// is not the link, and not the edge cache.
 	wait := r.foot.num("connect time")
 	if p.mute = e.Status == TurnedAway && p.source != p.at && wait > 0 && r.now-p.sent >= wait; p.mute {
 		p.blame = 1
@@ -595,8 +595,8 @@
 	if late {
 		l.late.Add(r.now, 1)
 	} else if float64(l.out+1) > 0.7*l.most {
-		// Where answers are few a tenth of a pull for each would leave a lane shut long after its trouble; where they are
-		// many the smaller steps add up. Doubling in a lane that is not calm would only fill the queue anew.
+		// Where answers are few a tenth of a pull for each would leave a lane shut long after its trouble; where
+		// they are many the steps add up. Doubling in one that is not calm would only fill the queue anew.
 		step := min(0.1, 1/l.most)
 		if all := l.all.Sum(r.now); all < fewAnswers && l.calm(r) {
 			step = max(step, l.most/all)
@@ -670,7 +670,7 @@
 	n.judge(r)
 }
 
-// muteWeighs is what one that can't be reached counts in failed pulls: with little traffic a second one has to do.
+// muteWeighs is what one that can't be reached counts in failed pulls: with little traffic a second must do.
 const muteWeighs = 2.5
 
 // judge sets aside what fails or hangs more than its peers do. Trouble that all share moves the median too
