--- a/internal/gateway/council.go
+++ b/internal/gateway/council.go
@@ -25,10 +25,14 @@
 	}
 	zone, _ := c.Footprint["zone"].(string)
 	var err error
-	k.council, err = drive.Open(b, c.Name, zone, nil, log, nil)
+	k.council, err = drive.Open(b, c.Name, zone, peersMost(c), nil, log)
 	return k, err
 }
 
+// peersMost is how many connections the agreement may hold: an eighth of the descriptors, which the budget of downloads is made
+// without where there is an agreement.
+func peersMost(c *footprint.Config) int { return max(leastFor, c.Sockets/8) }
+
 // run plays the part until leave.
 func (k *council) run(g *errgroup.Group) {
 	if k.council == nil {
--- a/internal/gateway/reload.go
+++ b/internal/gateway/reload.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"os"
+	"reflect"
 	"strings"
 	"sync/atomic"
 
@@ -10,6 +11,7 @@
 
 	"poppymill/internal/channel"
 	"poppymill/internal/footprint"
+	agreement "poppymill/internal/quorum/drive"
 )
 
 // Reloads tells a running gateway when to read its configuration again, and how.
@@ -31,6 +33,7 @@
 	follower      *channel.Follower
 	log           logrus.FieldLogger
 	guard         *guard
+	quorum        agreement.Block // as started
 	operator      atomic.Pointer[Settings]
 	done, misread atomic.Int64
 }
@@ -60,10 +63,14 @@
 		}
 		c := s.Config
 		r.operator.Store(s.Operator)
+		fixed := r.running.Fixed(c)
+		if !reflect.DeepEqual(s.Operator.Quorum, r.quorum) {
+			fixed = append(fixed, "quorum")
+		}
 		r.follower.Move(channel.Place{Address: c.Channel, Known: c.Known})
 		r.done.Add(1)
 		log := r.log.WithField("channel", c.Channel)
-		if fixed := r.running.Fixed(c); len(fixed) > 0 {
+		if len(fixed) > 0 {
 			log = log.WithField("until a restart", strings.Join(fixed, " "))
 		}
 		log.Info("reloaded")
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -86,7 +86,11 @@
 		return fmt.Errorf("listen: %w", err)
 	}
 	clock := newClock()
-	budget := Share(c)
+	shared := *c
+	if s.Operator.Quorum.On {
+		shared.Sockets -= peersMost(c) + spare/4 // its listener, its store, and calls that are under way
+	}
+	budget := Share(&shared)
 	debug.SetMemoryLimit(int64(budget.Heap))
 	buffers, reads := buffer.NewPool(budget.Bodies), buffer.NewPool(budget.Reads)
 	p := &poster{inbox: make(chan any, inboxMost), scarce: &scarce{log: log}, now: clock.now}
@@ -119,7 +123,7 @@
 	following, unfollow := context.WithCancel(context.Background())
 	defer unfollow()
 	g.Go(func() error { follower.Run(following); return nil })
-	reload := &reloader{Reloads: reloads, running: c, follower: follower, log: log, guard: guard}
+	reload := &reloader{Reloads: reloads, running: c, follower: follower, log: log, guard: guard, quorum: s.Operator.Quorum}
 	reload.operator.Store(s.Operator)
 	g.Go(func() error { reload.run(following); return nil })
 	g.Go(func() error { return server.Serve(following, listener) })
--- a/internal/owner/book.go
+++ b/internal/owner/book.go
@@ -1,12 +1,11 @@
 package owner
 
 import (
-	"cmp"
 	"fmt"
 	"maps"
 	"slices"
 
-	"github.com/fxamacker/cbor/v2"
+	"poppymill/internal/canon"
 )
 
 // Book is the state of all jobs that the log's commands bring about.
@@ -36,17 +35,6 @@
 	return &Book{Most: most, Jobs: map[string]*Job{}, Workers: map[string]Worker{}}
 }
 
-var encoding, _ = cbor.CoreDetEncOptions().EncMode()
-
-// Encode words a command's content.
-func Encode(v any) []byte {
-	b, err := encoding.Marshal(v)
-	if err != nil {
-		panic(err) // our own types
-	}
-	return b
-}
-
 // Member is word of a member in its place in the log. An owner that has gone owns nothing from that place on, whatever it
 // believes itself.
 func (b *Book) Member(index uint64, name string, w Worker) {
@@ -63,13 +51,18 @@
 // part ends a grant. What was meant under it and not done may have run: nobody runs it again but by an operator's word.
 func (j *Job) part(index uint64) {
 	j.Owner, j.Incarnation, j.Since = "", 0, index
-	for step, token := range j.Meant {
-		if j.Doubt == nil {
-			j.Doubt = map[int]uint64{}
-		}
-		j.Doubt[step] = token
+	for step := range j.Meant {
+		j.question(step)
+	}
+}
+
+// question has a step that was meant put before an operator.
+func (j *Job) question(step int) {
+	if j.Doubt == nil {
+		j.Doubt = map[int]uint64{}
 	}
-	clear(j.Meant)
+	j.Doubt[step] = j.Meant[step]
+	delete(j.Meant, step)
 }
 
 // All lists the jobs by name.
@@ -85,14 +78,14 @@
 func (b *Book) Apply(index uint64, kind string, data []byte) any {
 	if kind == Start {
 		var j Job
-		if cbor.Unmarshal(data, &j) != nil || j.Name == "" || j.Steps < 1 || j.Steps > mostSteps || j.Window < 1 || j.Window > mostWindow ||
+		if canon.Decode(data, &j) != nil || j.Name == "" || j.Steps < 1 || j.Steps > mostSteps || j.Window < 1 || j.Window > mostWindow ||
 			len(j.Data) > mostData || j.Type < Safe || j.Type > Unsafe {
 			return ErrBad
 		}
 		return b.start(index, j)
 	}
 	var c Claim
-	if cbor.Unmarshal(data, &c) != nil {
+	if canon.Decode(data, &c) != nil {
 		return ErrBad
 	}
 	j := b.Jobs[c.Job]
@@ -121,7 +114,14 @@
 	if err != nil {
 		return err
 	}
-	return *j
+	return j.copy()
+}
+
+// copy is a job as it is now, which later commands do not change.
+func (j *Job) copy() Job {
+	c := *j
+	c.Done, c.Meant, c.Doubt = maps.Clone(j.Done), maps.Clone(j.Meant), maps.Clone(j.Doubt)
+	return c
 }
 
 func (b *Book) start(index uint64, j Job) any {
@@ -129,7 +129,7 @@
 	if old := b.Jobs[j.Name]; old != nil {
 		// The same again does nothing; another under the same name would have steps counted as done that never ran.
 		if old.Kind == j.Kind && string(old.Data) == string(j.Data) && old.Steps == j.Steps && old.Type == j.Type && old.Window == j.Window {
-			return *old
+			return old.copy()
 		}
 		return ErrOther
 	}
@@ -244,11 +244,7 @@
 	if token, meant := j.Meant[c.Step]; !meant || token != c.Token {
 		return ErrOld
 	}
-	delete(j.Meant, c.Step)
-	if j.Doubt == nil {
-		j.Doubt = map[int]uint64{}
-	}
-	j.Doubt[c.Step] = c.Token
+	j.question(c.Step)
 	return nil
 }
 
@@ -263,12 +259,12 @@
 }
 
 // Save writes the state down, alike to the byte for alike states.
-func (b *Book) Save() []byte { return Encode(b) }
+func (b *Book) Save() []byte { return canon.Encode(b) }
 
 // Load takes the place of all that was there.
 func (b *Book) Load(text []byte) error {
 	n := New(b.Most)
-	if err := cbor.Unmarshal(text, n); err != nil {
+	if err := canon.Decode(text, n); err != nil {
 		return fmt.Errorf("jobs: %w", err)
 	}
 	if n.Jobs == nil || n.Workers == nil {
@@ -277,56 +273,3 @@
 	*b = *n
 	return nil
 }
-
-// Planner works out at the leader who should own what has no owner. It may differ from another's: the log decides.
-type Planner struct {
-	Hold    float64 // ms for which one that was lost once is given nothing after its return; twice as long with each loss
-	Longest float64
-	back    map[string]returned
-}
-
-type returned struct {
-	incarnation, losses uint64
-	there               bool
-	at                  float64
-}
-
-// Plan names grants to be asked for: the member with the least work that is not held off, by name where these are several.
-func (p *Planner) Plan(now float64, b *Book) (all []Claim) {
-	if p.back == nil {
-		p.back = map[string]returned{}
-	}
-	load := map[string]int{}
-	var able []string
-	for _, name := range slices.Sorted(maps.Keys(b.Workers)) {
-		w, r := b.Workers[name], p.back[name]
-		if r.losses != w.Losses || r.there != w.There || r.incarnation != w.Incarnation {
-			if r = (returned{incarnation: w.Incarnation, losses: w.Losses, there: w.There, at: now}); !w.There {
-				r.at = 0
-			}
-			p.back[name] = r
-		}
-		hold := 0.0
-		if w.Losses > 0 {
-			hold = min(p.Longest, p.Hold*float64(uint64(1)<<min(w.Losses-1, 20)))
-		}
-		if w.There && now >= r.at+hold {
-			able = append(able, name)
-		}
-	}
-	maps.DeleteFunc(p.back, func(name string, _ returned) bool { _, ok := b.Workers[name]; return !ok })
-	for _, j := range b.All() {
-		if j.Owner != "" {
-			load[j.Owner]++
-		}
-	}
-	for _, j := range b.All() {
-		if j.Owner != "" || j.State != Running || len(able) == 0 {
-			continue
-		}
-		to := slices.MinFunc(able, func(x, y string) int { return cmp.Or(cmp.Compare(load[x], load[y]), cmp.Compare(x, y)) })
-		load[to]++
-		all = append(all, Claim{Job: j.Name, Name: to, Incarnation: b.Workers[to].Incarnation})
-	}
-	return all
-}
--- a/internal/owner/gate.go
+++ b/internal/owner/gate.go
@@ -1,7 +1,9 @@
 package owner
 
 import (
+	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 )
 
@@ -12,7 +14,7 @@
 	most  int
 	seen  map[string]mark
 	order []string // by when a job was first seen
-	floor uint64   // of what was forgotten: no older token passes for any job
+	floor uint64   // the highest token of what was forgotten: no older one passes for any job
 }
 
 type mark struct {
@@ -38,58 +40,69 @@
 	return fmt.Sprintf("job %s, step %d: token %d is old, %d was seen", l.Job, l.Step, l.Token, l.Newer)
 }
 
-// Pass lets an effect happen, or refuses it by name. Raised tells that the token has to be kept before it does; again, that a
-// step whose type must not run twice here has run here before and is answered as done.
+// Pass lets an effect happen, or refuses it by name. Raised tells that what Kept gives has changed; again, that a step whose type
+// must not run twice here has run here before and is answered as done.
 func (g *Gate) Pass(job string, token uint64, step int, t Type) (raised, again bool, err error) {
-	m, known := g.seen[job]
-	if newer := max(m.token, g.floor); token < newer && (known || token <= g.floor) {
+	if newer := g.Highest(job); token < newer {
 		return false, false, Late{Job: job, Token: token, Newer: newer, Step: step}
 	}
-	if !known {
-		if len(g.order) >= g.most {
-			// Tokens rise over all jobs, so what is forgotten is covered by one floor: too much is refused rather than too little.
-			old := g.order[0]
-			g.order = g.order[1:]
-			g.floor = max(g.floor, g.seen[old].token)
-			delete(g.seen, old)
-			if token <= g.floor {
-				return false, false, Late{Job: job, Token: token, Newer: g.floor, Step: step}
-			}
-		}
-		g.order = append(g.order, job)
+	raised = g.raise(job, token)
+	m := g.seen[job]
+	if t == Safe || m.keys[step] {
+		return raised, m.keys[step], nil
 	}
-	if raised = token > m.token; raised {
-		m.token = token
+	if m.keys == nil {
+		m.keys = map[int]bool{}
 	}
-	if t != Safe {
-		if again = m.keys[step]; !again {
-			if m.keys == nil {
-				m.keys = map[int]bool{}
-			}
-			m.keys[step] = true
-			if i, _ := slices.BinarySearch(m.sorts, step); true {
-				m.sorts = slices.Insert(m.sorts, i, step)
-			}
-			if len(m.sorts) > mostKeys {
-				delete(m.keys, m.sorts[0])
-				m.sorts = m.sorts[1:]
-			}
-		}
+	m.keys[step] = true
+	i, _ := slices.BinarySearch(m.sorts, step)
+	m.sorts = slices.Insert(m.sorts, i, step)
+	if len(m.sorts) > mostKeys {
+		delete(m.keys, m.sorts[0])
+		m.sorts = m.sorts[1:]
 	}
 	g.seen[job] = m
-	return raised, again, nil
+	return raised, false, nil
 }
 
-// Highest is the highest token seen of a job, for what has to be kept.
+// raise notes a token. A job too many costs the one that was seen first: tokens rise over all jobs, so one floor covers what is
+// forgotten, and refuses too much rather than too little.
+func (g *Gate) raise(job string, token uint64) bool {
+	m, known := g.seen[job]
+	if known && token <= m.token {
+		return false
+	}
+	if !known {
+		g.order = append(g.order, job)
+	}
+	m.token = token
+	g.seen[job] = m
+	if len(g.order) > g.most {
+		old := g.order[0]
+		g.order = g.order[1:]
+		g.floor = max(g.floor, g.seen[old].token)
+		delete(g.seen, old)
+	}
+	return true
+}
+
+// Highest is the token below which nothing passes for a job.
 func (g *Gate) Highest(job string) uint64 { return max(g.seen[job].token, g.floor) }
 
-// Restore puts back what was kept of a job before a restart.
-func (g *Gate) Restore(job string, token uint64) {
-	if m, known := g.seen[job]; !known || token > m.token {
-		if !known {
-			g.order = append(g.order, job)
-		}
-		m.token = token
-		g.seen[job] = m
+// Kept is what must outlive a restart of the place: the floor, and the token of each job. Which steps have run is not among it, so
+// a place that runs keyed steps has to know that by itself.
+func (g *Gate) Kept() (floor uint64, tokens map[string]uint64) {
+	tokens = map[string]uint64{}
+	for job, m := range g.seen {
+		tokens[job] = m.token
+	}
+	return g.floor, tokens
+}
+
+// Restore puts back what was kept, the oldest first.
+func (g *Gate) Restore(floor uint64, tokens map[string]uint64) {
+	g.floor = max(g.floor, floor)
+	for _, job := range slices.SortedFunc(maps.Keys(tokens), func(a, b string) int { return cmp.Compare(tokens[a], tokens[b]) }) {
+		g.raise(job, tokens[job])
 	}
 }
--- /dev/null
+++ b/internal/owner/plan.go
@@ -0,0 +1,60 @@
+package owner
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+)
+
+// Planner works out at the leader who should own what has no owner. It may differ from another's: the log decides.
+type Planner struct {
+	Hold    float64 // ms for which one that was lost once is given nothing after its return; twice as long with each loss
+	Longest float64
+	back    map[string]returned
+}
+
+type returned struct {
+	incarnation, losses uint64
+	there               bool
+	at                  float64
+}
+
+// Plan names grants to be asked for: the member with the least work that is not held off, by name where these are several.
+func (p *Planner) Plan(now float64, b *Book) (all []Claim) {
+	if p.back == nil {
+		p.back = map[string]returned{}
+	}
+	load := map[string]int{}
+	var able []string
+	for _, name := range slices.Sorted(maps.Keys(b.Workers)) {
+		w, r := b.Workers[name], p.back[name]
+		if r.losses != w.Losses || r.there != w.There || r.incarnation != w.Incarnation {
+			if r = (returned{incarnation: w.Incarnation, losses: w.Losses, there: w.There, at: now}); !w.There {
+				r.at = 0
+			}
+			p.back[name] = r
+		}
+		hold := 0.0
+		if w.Losses > 0 {
+			hold = min(p.Longest, p.Hold*float64(uint64(1)<<min(w.Losses-1, 20)))
+		}
+		if w.There && now >= r.at+hold {
+			able = append(able, name)
+		}
+	}
+	maps.DeleteFunc(p.back, func(name string, _ returned) bool { _, ok := b.Workers[name]; return !ok })
+	for _, j := range b.All() {
+		if j.Owner != "" {
+			load[j.Owner]++
+		}
+	}
+	for _, j := range b.All() {
+		if j.Owner != "" || j.State != Running || len(able) == 0 {
+			continue
+		}
+		to := slices.MinFunc(able, func(x, y string) int { return cmp.Or(cmp.Compare(load[x], load[y]), cmp.Compare(x, y)) })
+		load[to]++
+		all = append(all, Claim{Job: j.Name, Name: to, Incarnation: b.Workers[to].Incarnation})
+	}
+	return all
+}
--- a/internal/owner/work.go
+++ b/internal/owner/work.go
@@ -19,7 +19,8 @@
 	token uint64
 	out   map[int]bool // steps sent, and not known to have ended
 	asked map[int]bool // steps for which a Mean is on its way
-	told  map[int]bool // steps whose Did or Unsure is on its way
+	told  map[int]Ask  // what was asked for of steps that ended, and is not agreed as far as this member has followed
+	over  bool         // its release is on its way
 }
 
 // Actions of Work, in the order in which they are to be carried out.
@@ -30,7 +31,7 @@
 		Token uint64
 		Step  int
 	}
-	// Ask has a command agreed; it may be lost, and is asked for again by Again.
+	// Ask has a command agreed. It may be lost: Again asks for it anew.
 	Ask struct {
 		Kind  string
 		Claim Claim
@@ -64,7 +65,7 @@
 		}
 		u := w.jobs[j.Name]
 		if u == nil {
-			u = &under{token: j.Token, out: map[int]bool{}, asked: map[int]bool{}, told: map[int]bool{}}
+			u = &under{token: j.Token, out: map[int]bool{}, asked: map[int]bool{}, told: map[int]Ask{}}
 			w.jobs[j.Name] = u
 		}
 		do = append(do, w.carryOn(j, u)...)
@@ -75,19 +76,21 @@
 // carryOn sends what has room in the job's window.
 func (w *Work) carryOn(j *Job, u *under) (do []any) {
 	for step := range u.told {
-		if !j.open(step) || j.Doubt[step] != 0 {
+		// An unsafe one that is no longer meant by this grant was settled, by a word of this member's or by an operator's.
+		if !j.open(step) || j.Type == Unsafe && j.Meant[step] != u.token {
 			delete(u.told, step)
 			delete(u.out, step)
 		}
 	}
 	if w.leaving {
-		if len(u.out) == 0 {
+		if len(u.out) == 0 && !u.over {
+			u.over = true
 			do = append(do, Ask{Release, Claim{Job: j.Name, Token: u.token}})
 		}
 		return do
 	}
 	for step := j.Next; step < min(j.Steps, j.Next+j.Window); step++ {
-		if _, doubt := j.Doubt[step]; doubt || !j.open(step) || u.out[step] || u.told[step] {
+		if _, doubt := j.Doubt[step]; doubt || !j.open(step) || u.out[step] {
 			continue
 		}
 		if j.Type == Unsafe && j.Meant[step] != u.token {
@@ -99,7 +102,7 @@
 		}
 		delete(u.asked, step)
 		u.out[step] = true
-		do = append(do, Do{Job: *j, Token: u.token, Step: step})
+		do = append(do, Do{Job: j.copy(), Token: u.token, Step: step})
 	}
 	return do
 }
@@ -111,27 +114,37 @@
 	switch {
 	case e == Ran:
 		// Told even where this member owns no more: the log settles a doubt by it.
+		ask := Ask{Did, Claim{Job: job, Token: token, Step: step}}
 		if mine {
-			u.told[step] = true
+			u.told[step] = ask
 		}
-		do = append(do, Ask{Did, Claim{Job: job, Token: token, Step: step}})
+		do = append(do, ask)
 	case !mine:
 	case e == Refused:
 		delete(w.jobs, job)
 	case t == Unsafe && e == Perhaps:
-		u.told[step] = true
-		do = append(do, Ask{Unsure, Claim{Job: job, Token: token, Step: step}})
+		u.told[step] = Ask{Unsure, Claim{Job: job, Token: token, Step: step}}
+		do = append(do, u.told[step])
 	default:
 		delete(u.out, step) // it goes out again
 	}
 	return do
 }
 
-// Again forgets what was asked for and not agreed, so that it is asked for anew.
-func (w *Work) Again(job string) {
-	if u := w.jobs[job]; u != nil {
-		clear(u.asked)
+// Again asks anew for all that was asked for and is not agreed, as far as this member has followed: of what was agreed meanwhile
+// the second copy changes nothing.
+func (w *Work) Again() (do []any) {
+	for _, name := range slices.Sorted(maps.Keys(w.jobs)) {
+		u := w.jobs[name]
+		for _, step := range slices.Sorted(maps.Keys(u.told)) {
+			do = append(do, u.told[step])
+		}
+		for _, step := range slices.Sorted(maps.Keys(u.asked)) {
+			do = append(do, Ask{Mean, Claim{Job: name, Token: u.token, Step: step}})
+		}
+		u.over = false
 	}
+	return do
 }
 
 // Leave has this member send nothing new, and give its jobs back once what it sent has ended.
--- a/internal/quorum/council.go
+++ b/internal/quorum/council.go
@@ -1,7 +1,6 @@
 package quorum
 
 import (
-	"maps"
 	"slices"
 
 	"go.etcd.io/raft/v3/raftpb"
@@ -128,11 +127,7 @@
 	if err := n.raft.ProposeConfChange(c); err != nil {
 		return
 	}
-	name := n.voters()[id]
-	if m := n.of(id); m != nil {
-		name = m.Name
-	}
-	n.say("council: "+what, "name", name, "voters", len(slices.Collect(maps.Keys(n.voters()))))
+	n.say("council: "+what, "name", n.name(id), "voters", len(n.conf.GetVoters()))
 }
 
 // removed is word that this identity votes no more. It is over for good: who had it follows, as somebody else.
@@ -147,7 +142,7 @@
 		return
 	}
 	n.say("this gateway's vote was given to another while it was away: it follows, as somebody else")
-	n.id = Identity{ID: uint64(n.chance.Next())<<31 | uint64(n.chance.Next())>>1 | 1, Name: n.set.Name}
+	n.id = Identity{ID: n.draw(), Name: n.set.Name}
 	n.raft, n.log, n.leader, n.host = nil, nil, "", ""
 	n.conf = &raftpb.ConfState{Voters: f.Voters}
 	n.applied = 0
--- a/internal/quorum/door.go
+++ b/internal/quorum/door.go
@@ -24,9 +24,9 @@
 	Members  int               // names that are remembered at most
 	Pending  int               // commands of this gateway that wait to be agreed at most
 	Retry    float64           // ms after which a command that was not agreed is sent again
+	Replace  float64           // ms for which a voter must be gone before another gets its vote; 0: never
+	Diskless bool              // it has no store, and only follows
 	Seed     uint64
-	Replace  float64 // ms for which a voter must be gone before another gets its vote; 0: never
-	Diskless bool    // it has no store, and only follows
 }
 
 // Defaults are settings for a site on a local network.
@@ -69,7 +69,7 @@
 	Saved struct{ Took float64 }
 	// Broken tells that the disk could not take it: this gateway votes no more until it is started anew.
 	Broken struct{ Err error }
-	// Propose asks for a command to be agreed. Token comes back with its Outcome; one that is over 0 and still open is an error.
+	// Propose asks for a command to be agreed. Token, over 0 and not used before, comes back with its Outcome.
 	Propose struct {
 		Token   uint64
 		Command Command
@@ -81,14 +81,15 @@
 // Action is one of the types below that says so.
 type Action any
 
-// Actions, which the driver carries out in their order. What follows a Save waits for its Saved.
+// Actions, which the driver carries out in their order. What rests on a Save is handed out after its Saved; what comes along with a
+// Save does not rest on it.
 type (
 	// Send brings a frame to a peer; it may be lost.
 	Send struct {
 		To    string
 		Frame Frame
 	}
-	// Save puts this on the disk and syncs it. Nothing else is handed over until it is Saved.
+	// Save puts this on the disk and syncs it. There is no other until it is Saved.
 	Save struct{ Record Record }
 	// Agreed is a command in its place in the log, after its book took it. The same comes to every gateway.
 	Agreed struct {
@@ -96,7 +97,10 @@
 		Command Command
 		Result  any
 	}
-	// Outcome ends a Propose: agreed at that place, or given up with an error. After an error it may still be agreed.
+	// Restored is a state that took the place of all that was followed before: what Agreed told of is behind it.
+	Restored struct{ Index uint64 }
+	// Outcome ends a Propose: agreed at that place, or an error. After ErrGivenUp it may still be agreed; after ErrRepeated it was,
+	// at a place that this gateway did not see, and its book tells what became of it.
 	Outcome struct {
 		Token uint64
 		Index uint64
@@ -142,13 +146,12 @@
 
 // The standings.
 const (
-	Unknown  Standing = iota // never heard of
-	Joined                   // it is there
-	Left                     // it said goodbye
-	Silent                   // its lease ran out
-	Replaced                 // a newer process of its name has joined
+	Unknown Standing = iota // never heard of
+	Joined                  // it is there
+	Left                    // it said goodbye
+	Silent                  // its lease ran out
 )
 
 func (s Standing) String() string {
-	return [...]string{"unknown", "joined", "left", "silent", "replaced"}[s]
+	return [...]string{"unknown", "joined", "left", "silent"}[s]
 }
--- a/internal/quorum/drive/block.go
+++ b/internal/quorum/drive/block.go
@@ -4,7 +4,6 @@
 	"errors"
 	"fmt"
 	"net"
-	"slices"
 	"time"
 
 	"poppymill/internal/operator"
@@ -65,11 +64,13 @@
 		return errors.New("lease: must be at least two elections, or a change of leader would look like a loss")
 	case len(s.Peers) == 0 && n > 1:
 		return errors.New("peer: none is named, and founders are several")
-	case slices.Contains(s.Founders, ""):
-		return errors.New("founders: an empty name")
 	}
-	if _, _, err := net.SplitHostPort(b.Listen); err != nil {
+	host, _, err := net.SplitHostPort(b.Listen)
+	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
+	if ip := net.ParseIP(host); s.Address == "" && (host == "" || ip != nil && ip.IsUnspecified()) {
+		return fmt.Errorf("address: missing, and listen %q tells peers no place to reach this gateway", b.Listen)
+	}
 	return nil
 }
--- a/internal/quorum/drive/drive_test.go
+++ b/internal/quorum/drive/drive_test.go
@@ -1,15 +1,20 @@
 package drive
 
 import (
+	"context"
 	"errors"
 	"fmt"
+	"io"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
+	"time"
 
+	"github.com/sirupsen/logrus"
 	"go.etcd.io/raft/v3/raftpb"
 
 	"poppymill/internal/operator"
@@ -194,6 +199,7 @@
 		{"listen = \"127.0.0.1:1\"\nfounders = [\"a\", \"b\", \"c\"]", "peer: none is named"},
 		{"listen = \"127.0.0.1:1\"\nelection = \"200ms\"", "election: must be at least five beats"},
 		{"listen = \"127.0.0.1:1\"\nlease = \"1s\"", "lease: must be at least two elections"},
+		{"listen = \":7101\"", "address: missing"}, {"listen = \"0.0.0.0:7101\"", "address: missing"},
 		{good + "\npeer \"c\" {\n address = \"127.0.0.1:4\"\n}", "peer c: stands twice"},
 		{"listen = \"127.0.0.1:1\"\npeer \"c\" {\n address = \"nowhere\"\n}", "f.hcl:3: quorum.peer c: address: address nowhere"},
 	} {
@@ -202,3 +208,129 @@
 		}
 	}
 }
+
+// ledger is a book that keeps what it was told.
+type ledger struct {
+	mu    sync.Mutex
+	lines []string
+}
+
+func (l *ledger) Apply(_ uint64, c quorum.Command) any {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lines = append(l.lines, string(c.Data))
+	return nil
+}
+func (l *ledger) Save() []byte { return []byte(strings.Join(l.lines, "|")) }
+func (l *ledger) Load(b []byte) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lines = strings.FieldsFunc(string(b), func(r rune) bool { return r == '|' })
+	return nil
+}
+func (l *ledger) all() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return strings.Join(l.lines, " ")
+}
+
+// Over TCP: one gateway founds alone and is told of nobody; one without a disk and one with follow it. What any of them asks for is
+// agreed, survives a restart of the one that votes, and tells it where the others are. A store of another name is passed over.
+func TestCouncil(t *testing.T) {
+	dir, log := t.TempDir(), logrus.New()
+	log.SetOutput(io.Discard)
+	until := func(what string, holds func() bool) {
+		t.Helper()
+		for end := time.Now().Add(20 * time.Second); !holds(); time.Sleep(5 * time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatalf("not seen: %s", what)
+			}
+		}
+	}
+	start := func(name, listen, store string, peers map[string]string, founders ...string) (*Council, *ledger, func()) {
+		b := Block{On: true, Listen: listen, Store: store, Settings: quorum.Defaults()}
+		b.Settings.Beat, b.Settings.Election, b.Settings.Lease, b.Settings.Peers, b.Settings.Founders = 20, 200, 600, peers, founders
+		l := &ledger{}
+		c, err := Open(b, name, "club", 64, map[string]quorum.Book{"ledger": l}, log)
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		over := make(chan error, 1)
+		go func() { over <- c.Run(ctx) }()
+		var once sync.Once
+		end := func() { once.Do(func() { cancel(); <-over }) }
+		t.Cleanup(end)
+		return c, l, end
+	}
+	ask := func(c *Council) quorum.Report {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		r, _ := Ask(ctx, c.Address())
+		return r
+	}
+	propose := func(c *Council, line string) {
+		t.Helper()
+		done := make(chan quorum.Outcome, 1)
+		c.Propose(quorum.Command{Book: "ledger", Data: []byte(line)}, func(o quorum.Outcome) { done <- o })
+		select {
+		case o := <-done:
+			if o.Err != nil {
+				t.Errorf("%s: %v", line, o.Err)
+			}
+		case <-time.After(20 * time.Second):
+			t.Fatalf("%s: no outcome", line)
+		}
+	}
+	a, la, endA := start("a", "127.0.0.1:0", dir+"/a", map[string]string{}, "a")
+	at := a.Address()
+	b, lb, _ := start("b", "127.0.0.1:0", "", map[string]string{"a": at})
+	c, lc, _ := start("c", "127.0.0.1:0", dir+"/c", map[string]string{"a": at})
+	until("three are there", func() bool { return len(ask(a).Members) == 3 && ask(b).Incarnation*ask(c).Incarnation > 0 })
+	propose(a, "one")
+	propose(b, "two")
+	propose(c, "three")
+	until("all have all", func() bool { return la.all() == "one two three" && lb.all() == la.all() && lc.all() == la.all() })
+	for _, m := range ask(a).Members {
+		if want := map[string]*Council{"a": a, "b": b, "c": c}[m.Name].Address(); m.Address != want || m.Votes != (m.Name == "a") {
+			t.Errorf("%+v, reached at %s", m, want)
+		}
+	}
+	endA()
+	a, la, _ = start("a", at, dir+"/a", map[string]string{}, "a")
+	propose(b, "four")
+	until("all have all after a restart", func() bool {
+		return la.all() == "one two three four" && lb.all() == la.all() && lc.all() == la.all()
+	})
+	if r := ask(a); r.Role != "leader" || len(r.Members) != 3 {
+		t.Errorf("after its restart: %+v", r)
+	}
+}
+
+// What can't be used of a store costs the vote, and not the gateway: another's, and one that holds a state of an unknown form.
+func TestUnusableStore(t *testing.T) {
+	for _, r := range []quorum.Record{{Identity: &quorum.Identity{ID: 7, Name: "other"}},
+		{Identity: &quorum.Identity{ID: 7, Name: "g"}, Founding: &quorum.Founding{Cluster: 5, Voters: map[string]uint64{"g": 7}}, Snapshot: snapshot(1), Hard: hard(1, 1)}} {
+		dir := t.TempDir()
+		s, _, err := openStore(dir + "/agreed")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := errors.Join(s.put(r), s.close()); err != nil {
+			t.Fatal(err)
+		}
+		var said strings.Builder
+		log := logrus.New()
+		log.SetOutput(&said)
+		b := Block{On: true, Listen: "127.0.0.1:0", Store: dir, Settings: quorum.Defaults()}
+		c, err := Open(b, "g", "club", 64, nil, log)
+		if err != nil || c.store != nil || !strings.Contains(said.String(), "the store can't be used") {
+			t.Fatalf("%v, said %q", err, said.String())
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		if err := c.Run(ctx); err != nil {
+			t.Error(err)
+		}
+	}
+}
--- a/internal/quorum/drive/peers.go
+++ b/internal/quorum/drive/peers.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"poppymill/internal/quorum"
@@ -17,9 +18,8 @@
 	queueMost   = 256
 	writeWithin = 2 * time.Second
 	dialWithin  = time.Second
-	silentFor   = 20 * time.Second // a connection on which nothing came is closed
 	redialAfter = 100 * time.Millisecond
-	connsMost   = 700
+	queueBytes  = 2 * quorum.MostFrame // that wait for one peer, at most
 )
 
 // peers are the connections with other gateways. A connection's first frame names who opened it; frames then go both ways.
@@ -30,8 +30,11 @@
 	received func(from string, f quorum.Frame, answer func(quorum.Frame))
 	lost     func(to string)
 	mu       sync.Mutex
+	most     int           // connections
+	silent   time.Duration // on which nothing came for so long are closed
 	links    map[string]*link
-	dialled  map[string]time.Time
+	dialled  map[string]time.Time // when the last call ended
+	dialling map[string]bool
 	conns    map[net.Conn]bool
 	live     sync.WaitGroup
 	ctx      context.Context
@@ -40,12 +43,14 @@
 
 // link is one connection with a peer.
 type link struct {
-	nc    net.Conn
-	queue chan []byte
+	nc     net.Conn
+	queue  chan []byte
+	queued atomic.Int64 // bytes
 }
 
-func newPeers(name string, l net.Listener) *peers {
-	p := &peers{name: name, listener: l, links: map[string]*link{}, dialled: map[string]time.Time{}, conns: map[net.Conn]bool{}}
+func newPeers(name string, l net.Listener, most int, silent time.Duration) *peers {
+	p := &peers{name: name, listener: l, most: most, silent: silent, links: map[string]*link{}, dialled: map[string]time.Time{},
+		dialling: map[string]bool{}, conns: map[net.Conn]bool{}}
 	p.ctx, p.stop = context.WithCancel(context.Background())
 	return p
 }
@@ -79,11 +84,11 @@
 	}()
 }
 
-// run reads and writes a connection until it ends; its name is known from the start where this side opened it.
-func (p *peers) run(nc net.Conn, name string) {
+// run reads and writes a connection until it ends; its name is known from the start where this side opened it, to bring a frame.
+func (p *peers) run(nc net.Conn, name string, first ...quorum.Frame) {
 	l := &link{nc: nc, queue: make(chan []byte, queueMost)}
 	p.mu.Lock()
-	if p.ctx.Err() != nil || len(p.conns) >= connsMost {
+	if p.ctx.Err() != nil || len(p.conns) >= p.most {
 		p.mu.Unlock()
 		nc.Close()
 		return
@@ -94,13 +99,17 @@
 	}
 	p.mu.Unlock()
 	if name != "" {
-		l.queue <- quorum.Frame{Kind: quorum.Hello, Data: []byte(p.name)}.Append(nil)
+		l.post(quorum.Frame{Kind: quorum.Hello, Data: []byte(p.name)})
+	}
+	for _, f := range first {
+		l.post(f)
 	}
 	ended := make(chan bool)
 	p.spawn(func() {
 		for {
 			select {
 			case b := <-l.queue:
+				l.queued.Add(-int64(len(b)))
 				nc.SetWriteDeadline(time.Now().Add(writeWithin))
 				if _, err := nc.Write(b); err != nil {
 					nc.Close()
@@ -115,7 +124,7 @@
 		name := name
 		r := bufio.NewReader(nc)
 		for {
-			nc.SetReadDeadline(time.Now().Add(silentFor))
+			nc.SetReadDeadline(time.Now().Add(p.silent))
 			f, err := read(r)
 			if err != nil {
 				break
@@ -136,22 +145,27 @@
 		nc.Close()
 		p.mu.Lock()
 		delete(p.conns, nc)
-		if p.links[name] == l {
+		last := p.links[name] == l // another connection with it may be there
+		if last {
 			delete(p.links, name)
 		}
 		p.mu.Unlock()
-		if name != "" {
+		if name != "" && last {
 			p.lost(name)
 		}
 	})
 }
 
-func (l *link) post(f quorum.Frame) bool {
+// post puts a frame in the queue, or lets go of it where too much waits.
+func (l *link) post(f quorum.Frame) {
+	b := f.Append(nil)
+	if l.queued.Load()+int64(len(b)) > queueBytes {
+		return
+	}
 	select {
-	case l.queue <- f.Append(nil):
-		return true
+	case l.queue <- b:
+		l.queued.Add(int64(len(b)))
 	default:
-		return false
 	}
 }
 
@@ -171,27 +185,32 @@
 	return quorum.Read(head, content)
 }
 
-// send puts a frame in a peer's queue, or opens a connection to it and lets go of the frame: whoever sent it sends again.
+// send puts a frame in a peer's queue, or opens a connection to it for it. While one is being opened what comes more is let go of:
+// whoever sent it sends again.
 func (p *peers) send(to string, f quorum.Frame) {
 	p.mu.Lock()
 	l := p.links[to]
 	if l == nil {
 		address := p.address(to)
-		if address == "" || time.Since(p.dialled[to]) < redialAfter || p.ctx.Err() != nil {
+		if address == "" || p.dialling[to] || time.Since(p.dialled[to]) < redialAfter || p.ctx.Err() != nil {
 			p.mu.Unlock()
 			return
 		}
-		p.dialled[to] = time.Now()
+		p.dialling[to] = true
 		p.mu.Unlock()
 		p.spawn(func() {
 			ctx, cancel := context.WithTimeout(p.ctx, dialWithin)
 			defer cancel()
 			nc, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+			p.mu.Lock()
+			delete(p.dialling, to)
+			p.dialled[to] = time.Now()
+			p.mu.Unlock()
 			if err != nil {
 				p.lost(to)
 				return
 			}
-			p.run(nc, to)
+			p.run(nc, to, f)
 		})
 		return
 	}
--- a/internal/quorum/drive/store.go
+++ b/internal/quorum/drive/store.go
@@ -11,12 +11,12 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/fxamacker/cbor/v2"
 	bolt "go.etcd.io/bbolt"
 	berrors "go.etcd.io/bbolt/errors"
 	"go.etcd.io/raft/v3/raftpb"
 	"google.golang.org/protobuf/proto"
 
+	"poppymill/internal/canon"
 	"poppymill/internal/quorum"
 )
 
@@ -120,8 +120,8 @@
 		key  []byte
 		read func([]byte) error
 	}{
-		{identityKey, func(b []byte) error { return cbor.Unmarshal(b, &held.Identity) }},
-		{foundingKey, func(b []byte) error { return cbor.Unmarshal(b, &held.Founding) }},
+		{identityKey, func(b []byte) error { return canon.Decode(b, &held.Identity) }},
+		{foundingKey, func(b []byte) error { return canon.Decode(b, &held.Founding) }},
 		{hardKey, func(b []byte) error { held.Hard = &raftpb.HardState{}; return proto.Unmarshal(b, held.Hard) }},
 		{snapshotKey, func(b []byte) error { held.Snapshot = &raftpb.Snapshot{}; return proto.Unmarshal(b, held.Snapshot) }},
 	} {
@@ -212,14 +212,12 @@
 			}
 		}
 		if r.Identity != nil {
-			b, err := cbor.Marshal(r.Identity)
-			if err = errors.Join(err, put(meta, identityKey, b)); err != nil {
+			if err := put(meta, identityKey, canon.Encode(r.Identity)); err != nil {
 				return err
 			}
 		}
 		if r.Founding != nil {
-			b, err := cbor.Marshal(r.Founding)
-			if err = errors.Join(err, put(meta, foundingKey, b)); err != nil {
+			if err := put(meta, foundingKey, canon.Encode(r.Founding)); err != nil {
 				return err
 			}
 		}
--- a/internal/quorum/node.go
+++ b/internal/quorum/node.go
@@ -11,6 +11,7 @@
 	"go.etcd.io/raft/v3/raftpb"
 	"google.golang.org/protobuf/proto"
 
+	"poppymill/internal/canon"
 	"poppymill/internal/chance"
 )
 
@@ -33,7 +34,9 @@
 	joining float64 // when its join goes out again
 	open    []*proposal
 	out     []Action
-	saving  func() // what goes on once the disk has it; nil: nothing is on its way there
+	saving  func()  // what goes on once the disk has it; nil: nothing is on its way there
+	begun   float64 // when that was handed over
+	hangs   bool    // it was said that the disk does not answer
 	after   []func()
 	dead    bool // its disk failed: it votes no more
 	slow    bool // its disk was too slow: it does not lead
@@ -41,6 +44,7 @@
 	gone    bool // it has said goodbye
 	leader  string
 	beatAt  float64
+	led     bool    // it led when it last looked
 	voteAt  float64 // when it looks for another leader itself
 	heard   float64 // when it last heard of one
 	forgot  bool    // that it did not hear of one for long
@@ -52,7 +56,15 @@
 	renewed map[uint64]float64 // when each was last heard of; the leader's
 	gather  map[uint64]Renewal // on their way to the leader
 	council council            // changes of who votes; the leader's
-	said    map[uint64]float64 // commands of the leader's own on their way, by incarnation and kind
+	said    map[said]float64   // the leader's own commands that are on their way
+	names   map[uint64]string  // who was heard of, by identity: a gateway that lags knows no more of a voter that is new
+	strange map[string]bool    // peers of which it was said that they belong to another fleet
+}
+
+// said is a command that the leader gives of itself.
+type said struct {
+	incarnation uint64
+	kind        string
 }
 
 type hello struct {
@@ -77,10 +89,14 @@
 // ErrGivenUp and the others are outcomes of what was not agreed.
 var (
 	ErrGivenUp = errors.New("not agreed in time; it may still be")
+	ErrLarge   = errors.New("the command is too large")
 	ErrBusy    = errors.New("too many commands wait to be agreed")
 	ErrYielded = errors.New("a newer process of this name is there")
 )
 
+// mostCommand bounds the bytes of one command, so that a frame holds it beside others.
+const mostCommand = 256 << 10
+
 // giveUp is the ms after which a command that could not be agreed is told as such.
 const giveUp = 15_000.0
 
@@ -91,15 +107,15 @@
 func New(set Settings, store Store, books map[string]Book, nonce uint64, now float64) (*Node, error) {
 	n := &Node{set: set, now: now, chance: chance.Chance((set.Seed^nonce)>>1 | 1), nonce: nonce, id: store.Identity, founded: store.Founding,
 		members: newMembers(set.Members), books: books, fresh: map[string]hello{}, renewed: map[uint64]float64{},
-		gather: map[uint64]Renewal{}, said: map[uint64]float64{}, renewAt: now, joining: now}
+		gather: map[uint64]Renewal{}, said: map[said]float64{}, names: map[uint64]string{}, strange: map[string]bool{}, renewAt: now, joining: now}
 	n.chance.Next()
 	if n.id.ID == 0 {
-		n.id = Identity{ID: uint64(n.chance.Next())<<31 | uint64(n.chance.Next())>>1 | 1, Name: set.Name}
+		n.id = Identity{ID: n.draw(), Name: set.Name}
 		n.save(Record{Identity: &n.id}, nil)
 	} else if n.id.Name != set.Name {
 		return nil, fmt.Errorf("the store is that of %q", n.id.Name)
 	}
-	if store.Snapshot != nil {
+	if store.Snapshot != nil || store.Hard != nil {
 		if err := n.begin(store); err != nil {
 			return nil, err
 		}
@@ -107,6 +123,9 @@
 	return n, nil
 }
 
+// draw makes a number for what must not be taken for anything else.
+func (n *Node) draw() uint64 { return uint64(n.chance.Next())<<31 | uint64(n.chance.Next())>>1 | 1 }
+
 // begin starts raft from what the store holds.
 func (n *Node) begin(store Store) error {
 	n.log = raft.NewMemoryStorage()
@@ -139,7 +158,7 @@
 
 func (n *Node) restore(data []byte, index uint64) error {
 	var s saved
-	if err := decode(data, &s); err != nil {
+	if err := canon.Decode(data, &s); err != nil {
 		return err
 	}
 	if err := n.members.Load(s.Members); err != nil {
@@ -153,6 +172,10 @@
 		}
 	}
 	n.applied = index
+	n.do(Restored{Index: index})
+	if m := n.members.Names[n.set.Name]; m != nil {
+		n.own(*m)
+	}
 	return nil
 }
 
@@ -167,7 +190,7 @@
 	for name, b := range n.books {
 		s.Books[name] = b.Save()
 	}
-	return encode(s)
+	return canon.Encode(s)
 }
 
 // Handle takes one event; nil only lets time pass.
@@ -211,6 +234,12 @@
 			due = min(due, n.heard+n.set.Election)
 		}
 	}
+	if n.saving != nil && !n.hangs {
+		due = min(due, n.begun+n.set.SlowDisk)
+	}
+	if n.raft != nil && n.saving != nil && n.leads() {
+		due = min(due, n.beatAt)
+	}
 	for _, p := range n.open {
 		if n.inc != 0 && (n.saving == nil || !n.leads()) {
 			due = min(due, p.sent+n.set.Retry)
@@ -233,7 +262,7 @@
 	if to == "" || to == n.set.Name {
 		return
 	}
-	f.ID = n.id.ID
+	f.ID, f.Follows = n.id.ID, n.raft == nil
 	if n.founded != nil {
 		f.Cluster = n.founded.Cluster
 	}
@@ -249,7 +278,7 @@
 		n.after = append(n.after, func() { n.save(r, then) })
 		return
 	}
-	n.saving = then
+	n.saving, n.begun, n.hangs = then, n.now, false
 	n.do(Save{Record: r})
 }
 
@@ -261,7 +290,6 @@
 		n.slow = slow
 		if slow {
 			n.say("this gateway's disk is too slow to lead", "took_ms", math.Round(took), "most_ms", n.set.SlowDisk)
-			n.handOver()
 		}
 	}
 	then := n.saving
@@ -298,37 +326,27 @@
 
 // voter is the identity of a name that votes; 0: it does not.
 func (n *Node) voter(name string) uint64 {
-	all := n.voters()
-	for _, id := range slices.Sorted(maps.Keys(all)) {
-		if all[id] == name {
+	for _, id := range n.conf.GetVoters() {
+		if n.name(id) == name {
 			return id
 		}
 	}
 	return 0
 }
 
-// voters are those who vote, as this gateway knows it: identities with their names.
-func (n *Node) voters() map[uint64]string {
-	all := map[uint64]string{}
-	if n.founded != nil {
-		for name, id := range n.founded.Voters {
-			all[id] = name
-		}
-	}
-	for _, m := range n.members.Names {
-		if m.Identity != 0 {
-			all[m.Identity] = m.Name
-		}
+// name is whose an identity is, as far as anybody has said; empty: unknown.
+func (n *Node) name(id uint64) string {
+	if m := n.of(id); m != nil {
+		return m.Name
 	}
-	if n.conf == nil {
-		return all
-	}
-	for id := range all {
-		if !slices.Contains(n.conf.Voters, id) && !slices.Contains(n.conf.VotersOutgoing, id) && !slices.Contains(n.conf.Learners, id) {
-			delete(all, id)
+	if n.founded != nil {
+		for name, x := range n.founded.Voters {
+			if x == id {
+				return name
+			}
 		}
 	}
-	return all
+	return n.names[id]
 }
 
 // postpone puts off the look for another leader, as one was heard of.
@@ -338,14 +356,27 @@
 }
 
 func (n *Node) ring() {
-	if n.raft != nil && n.saving == nil {
+	if n.saving != nil && !n.hangs && n.now >= n.begun+n.set.SlowDisk {
+		n.hangs = true
+		n.say("this gateway's disk does not answer", "for_ms", math.Round(n.now-n.begun))
+	}
+	if n.raft != nil && (n.saving == nil || n.leads()) {
+		if led := n.leads(); led && !n.led {
+			// Its beats begin now: those that it owed as a leader of long ago would have it find no majority at once.
+			n.beatAt, n.led = n.now, true
+		} else {
+			n.led = led
+		}
 		if n.leads() {
-			// A process that was frozen owes no more than what lets it find out that it leads no more.
-			for i := 0; n.now >= n.beatAt && n.leads(); i++ {
+			// It goes on while the disk is at work, so that one that hangs costs the lead. A process that was frozen owes no more than what lets it find out that it leads no more.
+			for n.now >= n.beatAt && n.leads() {
 				if n.beatAt += n.set.Beat; n.beatAt < n.now-2*n.set.Election {
 					n.beatAt = n.now
 				}
 				n.raft.Tick()
+				if n.slow && n.raft.BasicStatus().LeadTransferee == 0 {
+					n.handOver() // again, as nobody may have answered lately
+				}
 			}
 			if n.leads() {
 				n.postpone()
@@ -421,13 +452,12 @@
 		n.say("entries don't fit the log: this gateway votes no more until it is started anew", "error", err)
 		return
 	}
-	voters := n.voters()
 	for _, m := range r.Messages {
 		b, err := proto.Marshal(m)
 		if err != nil {
 			continue
 		}
-		n.send(voters[m.GetTo()], Frame{Kind: Raft, Data: b})
+		n.send(n.name(m.GetTo()), Frame{Kind: Raft, Data: b})
 		if m.GetType() == raftpb.MessageType_MsgSnap {
 			n.raft.ReportSnapshot(m.GetTo(), raft.SnapshotFinish)
 		}
@@ -470,7 +500,7 @@
 		return
 	}
 	var c Command
-	if decode(data, &c) != nil {
+	if canon.Decode(data, &c) != nil {
 		return
 	}
 	var result any
@@ -507,9 +537,13 @@
 	if c.Kind == doubled {
 		n.say("a name is doubled: the older process is told to yield", "name", m.Name, "older", m.Doubled, "newer", m.Incarnation)
 	}
-	if m.Name != n.set.Name {
-		return
+	if m.Name == n.set.Name {
+		n.own(m)
 	}
+}
+
+// own is what the log says of this gateway's own name.
+func (n *Node) own(m Member) {
 	if m.Nonce == n.nonce && n.inc == 0 {
 		n.inc = m.Incarnation
 		for _, p := range n.open { // what was asked before this process had a name for itself
@@ -550,20 +584,16 @@
 }
 
 func (n *Node) leaderIs(id uint64) {
-	name := n.voters()[id]
+	name := n.name(id)
 	if id == n.id.ID && id != 0 {
 		name = n.set.Name
 		if n.leader != name {
 			// Nobody is lost for a change of leader: all have a whole lease from now on.
-			n.renewed, n.said = map[uint64]float64{}, map[uint64]float64{}
+			n.renewed, n.said = map[uint64]float64{}, map[said]float64{}
 			for _, m := range n.members.Names {
 				n.renewed[m.Incarnation] = n.now
 			}
 			n.council = council{began: n.now}
-			n.beatAt = n.now
-			if n.slow {
-				n.handOver()
-			}
 		}
 	}
 	if name != n.leader {
--- a/internal/quorum/peers.go
+++ b/internal/quorum/peers.go
@@ -9,6 +9,8 @@
 	"github.com/cespare/xxhash/v2"
 	"go.etcd.io/raft/v3/raftpb"
 	"google.golang.org/protobuf/proto"
+
+	"poppymill/internal/canon"
 )
 
 // What one follower is given at a time, in bytes: it asks for more once it has that, so nobody else waits for it.
@@ -19,11 +21,15 @@
 		return
 	}
 	if n.founded != nil && f.Cluster != 0 && f.Cluster != n.founded.Cluster {
-		if f.Kind == Hello {
-			n.say("a peer belongs to another fleet", "name", from)
+		if !n.strange[from] && len(n.strange) < n.set.Members {
+			n.strange[from] = true
+			n.say("a peer belongs to another fleet: nothing of it is heard", "name", from)
 		}
 		return
 	}
+	if len(n.names) < n.set.Members || n.names[f.ID] != "" {
+		n.names[f.ID] = from
+	}
 	switch f.Kind {
 	case Hello:
 		n.hello(from, f)
@@ -67,7 +73,7 @@
 // their stores are empty: one that lost its store finds that the others have not lost theirs.
 func (n *Node) found() {
 	names := slices.Sorted(slices.Values(n.set.Founders))
-	if len(names) == 0 || names[0] != n.set.Name || n.founded != nil || n.saving != nil {
+	if len(names) == 0 || names[0] != n.set.Name || n.founded != nil || n.saving != nil || n.dead {
 		return
 	}
 	voters := map[string]uint64{n.set.Name: n.id.ID}
@@ -79,10 +85,7 @@
 		voters[name] = h.id
 	}
 	n.say("founds a fleet", "voters", names)
-	n.takeUp(Frame{Founding: &Founding{Cluster: uint64(n.chance.Next())<<31 | uint64(n.chance.Next())>>1 | 1, Voters: voters}})
-	for _, name := range names[1:] {
-		n.send(name, Frame{Kind: Found, Founding: n.founded})
-	}
+	n.takeUp(Frame{Founding: &Founding{Cluster: n.draw(), Voters: voters}}) // the others are told once it is on the disk
 }
 
 // takeUp joins a fleet: as a voter from its beginning, or as one that follows.
@@ -97,13 +100,16 @@
 	}
 	index, term, empty := uint64(initial), uint64(1), newMembers(n.set.Members)
 	conf := &raftpb.ConfState{Voters: slices.Sorted(maps.Values(f.Founding.Voters))}
-	s := &raftpb.Snapshot{Data: encode(saved{Members: empty.Save()}), Metadata: &raftpb.SnapshotMetadata{ConfState: conf, Index: &index, Term: &term}}
+	s := &raftpb.Snapshot{Data: canon.Encode(saved{Members: empty.Save()}), Metadata: &raftpb.SnapshotMetadata{ConfState: conf, Index: &index, Term: &term}}
 	store := Store{Identity: n.id, Founding: n.founded, Snapshot: s, Hard: &raftpb.HardState{Term: &term, Commit: &index}}
 	n.save(Record{Founding: n.founded, Snapshot: s, Hard: store.Hard}, func() {
 		if err := n.begin(store); err != nil {
 			n.dead = true
 			n.say("the log can't begin: this gateway votes no more until it is started anew", "error", err)
 		}
+		for _, name := range slices.Sorted(maps.Keys(n.founded.Voters)) {
+			n.send(name, Frame{Kind: Found, Founding: n.founded})
+		}
 	})
 }
 
@@ -113,11 +119,9 @@
 	if n.dead || n.founded == nil || proto.Unmarshal(f.Data, &m) != nil || m.GetTo() != n.id.ID || m.GetFrom() != f.ID {
 		return
 	}
-	if n.raft != nil && n.conf != nil && n.leader != "" && n.votes(f.ID) == none && m.GetType() != raftpb.MessageType_MsgApp &&
-		m.GetType() != raftpb.MessageType_MsgSnap && m.GetType() != raftpb.MessageType_MsgHeartbeat {
-		// It was replaced while it was away, and looks for votes that nobody has for it.
-		n.send(from, Frame{Kind: Removed, Voters: n.conf.Voters, Applied: n.applied})
-		return
+	if t := m.GetType(); n.raft != nil && n.votes(f.ID) == none && (t == raftpb.MessageType_MsgPreVote || t == raftpb.MessageType_MsgVote) {
+		// Either it was replaced while it was away, and goes by this word; or this gateway lags, and its vote counts all the same.
+		n.send(from, Frame{Kind: Removed, Voters: n.conf.GetVoters(), Applied: n.applied})
 	}
 	if n.raft == nil {
 		// A follower that the leader has begun to bring up as a voter.
@@ -154,6 +158,9 @@
 	case len(n.open) >= n.set.Pending:
 		n.do(Outcome{Token: p.Token, Err: ErrBusy})
 		return
+	case len(p.Command.Data) > mostCommand:
+		n.do(Outcome{Token: p.Token, Err: ErrLarge})
+		return
 	}
 	q := &proposal{token: p.Token, c: p.Command, sent: math.Inf(-1), by: n.now + giveUp}
 	if n.inc != 0 {
@@ -196,7 +203,9 @@
 	switch {
 	case n.leads():
 		for _, c := range all {
-			n.raft.Propose(encode(c))
+			if len(c.Data) <= mostCommand { // a peer may have brought it
+				n.raft.Propose(canon.Encode(c))
+			}
 		}
 	case n.raft != nil:
 		n.send(n.leader, Frame{Kind: Ask, Commands: all})
@@ -209,7 +218,7 @@
 func (n *Node) handOn(from string, f Frame) {
 	if n.leads() {
 		n.ask(f.Commands)
-	} else if n.raft != nil && n.voter(from) != f.ID { // a name may be a voter whose store was lost
+	} else if n.raft != nil && f.Follows {
 		n.send(n.leader, Frame{Kind: Ask, Commands: f.Commands})
 	}
 }
@@ -226,8 +235,12 @@
 	if n.dead || n.set.Diskless {
 		id = 0
 	}
-	n.ask([]Command{{Book: membersBook, Kind: joins, Data: encode(Member{Name: n.set.Name, Zone: n.set.Zone, Address: n.set.Address,
-		Nonce: n.nonce, Identity: id})}})
+	before := uint64(0)
+	if m := n.members.Names[n.set.Name]; m != nil {
+		before = m.Incarnation
+	}
+	n.ask([]Command{{Book: membersBook, Kind: joins, Data: canon.Encode(Member{Name: n.set.Name, Zone: n.set.Zone, Address: n.set.Address,
+		Nonce: n.nonce, Identity: id, Incarnation: before})}})
 }
 
 func (n *Node) leave() {
@@ -236,7 +249,7 @@
 		return
 	}
 	n.handOver()
-	n.ask([]Command{{Book: membersBook, Kind: leaves, Data: encode(n.inc)}})
+	n.ask([]Command{{Book: membersBook, Kind: leaves, Data: canon.Encode(Member{Name: n.set.Name, Incarnation: n.inc})}})
 	n.gone = true
 }
 
@@ -250,7 +263,7 @@
 		n.found() // one that founds alone hears nobody's hello
 		return
 	}
-	own := Renewal{Incarnation: n.inc, Applied: n.applied}
+	own := Renewal{Incarnation: n.inc, Name: n.set.Name}
 	if n.gone || n.yielded {
 		own.Incarnation = 0
 	}
@@ -279,8 +292,17 @@
 	if n.host != "" && n.now < n.hosted+n.set.Lease/2 {
 		return
 	}
-	names := slices.Sorted(maps.Values(n.voters()))
-	if names = slices.DeleteFunc(names, func(s string) bool { return s == n.set.Name }); len(names) == 0 {
+	voters := n.conf.GetVoters()
+	if len(voters) == 0 { // it has followed nothing yet
+		voters = slices.Sorted(maps.Values(n.founded.Voters))
+	}
+	var names []string
+	for _, id := range voters {
+		if name := n.name(id); name != "" && name != n.set.Name {
+			names = append(names, name)
+		}
+	}
+	if slices.Sort(names); len(names) == 0 || n.applied == 0 && n.hosts > 2*len(names) { // those that founded may all be gone
 		names = slices.Sorted(maps.Keys(n.set.Peers))
 	}
 	if len(names) == 0 {
@@ -296,48 +318,45 @@
 	if n.raft == nil {
 		return
 	}
-	follows := n.voter(from) != f.ID
 	for _, r := range f.Renewals {
 		if r.Incarnation == 0 {
 			continue
 		}
-		if m := n.members.Names[from]; follows && m != nil && r.Incarnation < m.Incarnation {
+		if m := n.members.Names[from]; f.Follows && m != nil && r.Incarnation < m.Incarnation {
 			n.send(from, Frame{Kind: Yield, Nonce: f.Nonce})
 		}
 		if n.leads() {
-			n.alive(from, r.Incarnation)
+			n.alive(r)
 		} else {
 			n.gather[r.Incarnation] = r
 		}
 	}
-	if follows && n.saving == nil {
+	if f.Follows && n.saving == nil {
 		n.feed(from, f.Applied)
 	}
 }
 
 // alive notes at the leader that an incarnation was heard of.
-func (n *Node) alive(from string, inc uint64) {
-	n.renewed[inc] = n.now
-	m := n.members.By(inc)
-	if m == nil {
-		if x := n.members.Names[from]; x != nil && inc < x.Incarnation && inc > x.Doubled {
-			n.sayOnce(inc, doubled, Member{Name: from, Incarnation: inc})
-		}
-		return
-	}
-	if m.Standing == Silent {
-		n.sayOnce(inc, returns, inc)
+func (n *Node) alive(r Renewal) {
+	n.renewed[r.Incarnation] = n.now
+	m := n.members.Names[r.Name]
+	switch {
+	case m == nil:
+	case r.Incarnation < m.Incarnation && r.Incarnation > m.Doubled:
+		n.sayOnce(doubled, Member{Name: m.Name, Incarnation: r.Incarnation})
+	case r.Incarnation == m.Incarnation && m.Standing == Silent:
+		n.sayOnce(returns, Member{Name: m.Name, Incarnation: m.Incarnation, Since: m.Since})
 	}
 }
 
 // sayOnce proposes what the leader itself has to say of a member, not again before that could be agreed.
-func (n *Node) sayOnce(inc uint64, kind string, data any) {
-	key := inc<<3 | uint64(len(kind)%8)
+func (n *Node) sayOnce(kind string, m Member) {
+	key := said{m.Incarnation, kind}
 	if at, ok := n.said[key]; ok && n.now < at+n.set.Election {
 		return
 	}
 	n.said[key] = n.now
-	n.raft.Propose(encode(Command{Book: membersBook, Kind: kind, Data: encode(data)}))
+	n.raft.Propose(canon.Encode(Command{Book: membersBook, Kind: kind, Data: canon.Encode(m)}))
 }
 
 // look is the leader's for leases that ran out: the one place that says who is silent.
@@ -354,7 +373,7 @@
 			n.renewed[m.Incarnation], at = n.now, n.now
 		}
 		if m.Standing == Joined && n.now > at+n.set.Lease {
-			n.sayOnce(m.Incarnation, silent, m.Incarnation)
+			n.sayOnce(silent, Member{Name: m.Name, Incarnation: m.Incarnation, Since: m.Since})
 		}
 	}
 	for inc := range n.renewed {
@@ -413,10 +432,6 @@
 			n.applied = 0 // what was taken of it may be half: all is asked for anew
 			return
 		}
-		n.do(Agreed{Index: f.Applied, Command: Command{Kind: "snapshot"}})
-		if m := n.members.Names[n.set.Name]; m != nil {
-			n.told(Command{}, *m)
-		}
 	} else {
 		for _, data := range f.Entries {
 			n.apply(n.applied+1, data)
--- a/internal/quorum/report.go
+++ b/internal/quorum/report.go
@@ -37,7 +37,6 @@
 // Report tells how things stand.
 func (n *Node) Report(now float64) Report {
 	r := Report{Name: n.set.Name, Identity: n.id.ID, Incarnation: n.inc, Leader: n.leader, Applied: n.applied, Open: len(n.open), Role: "follower"}
-	voters := n.voters()
 	if n.founded != nil {
 		r.Cluster = n.founded.Cluster
 	}
@@ -50,7 +49,6 @@
 		r.Role = "none"
 	case n.leads():
 		r.Role = "leader"
-		r.Majority = true
 	case n.raft != nil && n.raft.BasicStatus().RaftState != raft.StateFollower:
 		r.Role = "candidate"
 	case n.raft != nil:
@@ -62,15 +60,14 @@
 	} else {
 		r.Age = max(0, now-n.hosted)
 	}
-	if n.leads() {
-		r.Age = 0
-	} else {
-		r.Majority = n.leader != "" && r.Age < n.set.Election
+	if r.Majority = n.leader != "" && r.Age < n.set.Election; n.leads() {
+		// It steps down once it hears no majority; until then only a disk that does not answer keeps it from agreeing.
+		r.Age, r.Majority = 0, !n.hangs
 	}
 	for _, m := range n.members.All() {
 		x := MemberReport{Name: m.Name, Zone: m.Zone, Address: m.Address, Incarnation: m.Incarnation, Standing: m.Standing.String(),
 			Since: m.Since, Losses: m.Losses}
-		if _, ok := voters[m.Identity]; ok && m.Identity != 0 {
+		if m.Identity != 0 && n.votes(m.Identity) == votes {
 			x.Votes = true
 			r.Voters = append(r.Voters, m.Name)
 		}
@@ -92,15 +89,3 @@
 	}
 	return ""
 }
-
-// Alive tells whether a name is there with that incarnation, as the log says.
-func (n *Node) Alive(name string, incarnation uint64) bool {
-	m := n.members.Names[name]
-	return m != nil && m.Incarnation == incarnation && m.Standing == Joined
-}
-
-// Members is the book of members; it must not be changed.
-func (n *Node) Members() *Members { return n.members }
-
-// Incarnation is this process's; 0 as long as the log has given none.
-func (n *Node) Incarnation() uint64 { return n.inc }
--- a/internal/rehearsal/script/fields.go
+++ b/internal/rehearsal/script/fields.go
@@ -159,6 +159,8 @@
 		return fmt.Errorf("%s needs %s", e.Do, uses[e.Do])
 	case e.Times > 1 && e.Every == 0:
 		return errors.New("times needs every")
+	case e.Disk != "" && e.On != "gateway":
+		return fmt.Errorf("kill takes disk on a gateway, not on %s", e.On)
 	case e.Do == "purge" && (e.Groups == 0) == (e.Share == 0):
 		return errors.New("purge needs groups or share")
 	}
--- a/internal/rehearsal/sockets/gateway.go
+++ b/internal/rehearsal/sockets/gateway.go
@@ -22,8 +22,9 @@
 	address string
 	channel *channel
 	cmd     *exec.Cmd
-	told    bool // to end
-	ready   bool // it has answered as healthy
+	told    bool            // to end
+	ready   bool            // it has answered as healthy
+	gone    context.Context // over once the process is
 	callers []*clients.Caller
 	open    map[string]func() // how each open request is taken back
 }
@@ -89,8 +90,8 @@
 	if err := cmd.Start(); err != nil {
 		return err
 	}
-	p.cmd, p.told, p.ready = cmd, false, false
 	gone, exited := context.WithCancel(s.ctx)
+	p.cmd, p.told, p.ready, p.gone = cmd, false, false, gone
 	s.spawn(func() {
 		cmd.Wait()
 		exited()
@@ -157,8 +158,8 @@
 		return
 	}
 	p.cmd.Process.Signal(syscall.SIGCONT)
-	cmd := p.cmd
-	p.stage.spawn(func() { p.untilReady(p.stage.ctx, cmd) })
+	cmd, gone := p.cmd, p.gone
+	p.stage.spawn(func() { p.untilReady(gone, cmd) })
 }
 
 // kill ends the process outright; the world has been told or will not hear of it any more.
