--- a/internal/bite/main.go
+++ b/internal/bite/main.go
@@ -27,7 +27,7 @@
 		"\t\tif rec.Snapshot == nil {\n\t\t\trec.Hard, rec.Entries = nil, nil\n\t\t}\n\t\tn.save(rec, func() {})\n\t\tdone()\n", agreement, "TestAgrees"},
 	{"old identity taken back", "internal/quorum/node.go", "if n.id.ID == 0 {", "if n.id = (Identity{ID: 9 + uint64(set.Name[1]), Name: set.Name}); store.Identity.ID == 0 {",
 		agreement, "TestLostStoreNeverVotes"},
-	{"founding by old word", "internal/quorum/peers.go", "if f.Echo == n.nonce && f.Cluster == 0 {", "if f.Cluster == 0 {", agreement, "TestOldWordFoundsNothing"},
+	{"founding by old word", "internal/quorum/peers.go", "if f.Echo == n.nonce && f.Cluster == 0 &&", "if f.Cluster == 0 &&", agreement, "TestOldWordFoundsNothing"},
 	{"founding without all founders", "internal/quorum/peers.go", "n.now > h.at+n.set.Election {\n\t\t\treturn", "n.now > h.at+n.set.Election {\n\t\t\tcontinue", agreement, "TestFoundsOnce"},
 	{"commands that come twice count twice", "internal/quorum/members.go", "if c.Seq <= x.Seq {", "if false {", agreement, "TestAgrees|TestFaults"},
 	{"commands count out of order", "internal/quorum/members.go", "} else if c.Seq != x.Seq+1 {", "} else if false {", agreement, "TestAgrees"},
--- a/internal/gateway/budget.go
+++ b/internal/gateway/budget.go
@@ -32,3 +32,14 @@
 	return Budget{Clients: clients, Caches: conns - clients, Reads: conns * buffer.Size, Bodies: memory / 4,
 		Open: min(c.MostOpen, memory/8/perOpen), Heap: memory - memory/8}
 }
+
+// peersMost is how many connections the agreement among gateways may hold.
+func peersMost(c *footprint.Config) int { return max(leastFor, c.Sockets/8) }
+
+// shareBeside makes the budget of a gateway that takes part in the agreement: its connections, and as many descriptors again as a
+// quarter of the spare ones for its listener, its store and calls under way, are set aside first.
+func shareBeside(c *footprint.Config) Budget {
+	rest := *c
+	rest.Sockets -= peersMost(c) + spare/4
+	return Share(&rest)
+}
--- a/internal/gateway/core_test.go
+++ b/internal/gateway/core_test.go
@@ -532,6 +532,9 @@
 		if used := b.Reads + b.Bodies + conns*perConn + b.Open*perOpen; used > b.Heap || b.Heap+aside > l[0]<<20 || conns > max(32, l[1]-spare) {
 			t.Errorf("%v: %+v is too much", l, b)
 		}
+		if beside := shareBeside(c); beside.Clients+beside.Caches > max(32, l[1]-spare-peersMost(c)) || beside.Clients+beside.Caches < 32 {
+			t.Errorf("%v: beside %d connections of peers %+v", l, peersMost(c), beside)
+		}
 		if b.Clients < min(c.Sockets/3, 16) || b.Reads < conns*buffer.Size || b.Bodies < 4*240_000 || b.Open < 300 {
 			t.Errorf("%v: %+v is too little", l, b)
 		}
--- a/internal/gateway/council.go
+++ b/internal/gateway/council.go
@@ -29,10 +29,6 @@
 	return k, err
 }
 
-// peersMost is how many connections the agreement may hold: an eighth of the descriptors, which the budget of downloads is made
-// without where there is an agreement.
-func peersMost(c *footprint.Config) int { return max(leastFor, c.Sockets/8) }
-
 // run plays the part until leave.
 func (k *council) run(g *errgroup.Group) {
 	if k.council == nil {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -86,11 +86,10 @@
 		return fmt.Errorf("listen: %w", err)
 	}
 	clock := newClock()
-	shared := *c
+	budget := Share(c)
 	if s.Operator.Quorum.On {
-		shared.Sockets -= peersMost(c) + spare/4 // its listener, its store, and calls that are under way
+		budget = shareBeside(c)
 	}
-	budget := Share(&shared)
 	debug.SetMemoryLimit(int64(budget.Heap))
 	buffers, reads := buffer.NewPool(budget.Bodies), buffer.NewPool(budget.Reads)
 	p := &poster{inbox: make(chan any, inboxMost), scarce: &scarce{log: log}, now: clock.now}
--- a/internal/quorum/drive/council.go
+++ b/internal/quorum/drive/council.go
@@ -36,8 +36,8 @@
 
 type call func()
 
-// Open reads the store, listens, and is ready to Run. What it can't use of the store is an error that names it. Without a store
-// this gateway follows and never votes.
+// Open reads the store, listens, and is ready to Run with so many connections at most. Without a store, or with one that can't be
+// used, this gateway follows and never votes; the log says why.
 func Open(b Block, name, zone string, conns int, books map[string]quorum.Book, log logrus.FieldLogger) (*Council, error) {
 	c := &Council{inbox: make(chan any, inboxMost), disk: make(chan quorum.Record, 1), log: log, start: time.Now(), waits: map[uint64]func(quorum.Outcome){}}
 	var seed [16]byte
--- a/internal/quorum/frame.go
+++ b/internal/quorum/frame.go
@@ -33,7 +33,7 @@
 	Nonce    uint64    `cbor:"4,keyasint,omitempty"`
 	Echo     uint64    `cbor:"5,keyasint,omitempty"`
 	Founding *Founding `cbor:"6,keyasint,omitempty"`
-	Data     []byte    `cbor:"7,keyasint,omitempty"` // raft's message, or a question's text
+	Data     []byte    `cbor:"7,keyasint,omitempty"` // raft's message; of a connection's first frame, who opens it; of a Status, the answer
 	Commands []Command `cbor:"8,keyasint,omitempty"`
 	Renewals []Renewal `cbor:"9,keyasint,omitempty"`
 	Applied  uint64    `cbor:"10,keyasint,omitempty"`
--- a/internal/quorum/peers.go
+++ b/internal/quorum/peers.go
@@ -61,7 +61,7 @@
 		}
 		return
 	}
-	if f.Echo == n.nonce && f.Cluster == 0 {
+	if f.Echo == n.nonce && f.Cluster == 0 && slices.Contains(n.set.Founders, from) {
 		n.fresh[from] = hello{id: f.ID, at: n.now}
 		n.found()
 	} else if f.Echo != n.nonce {
@@ -248,8 +248,9 @@
 		n.gone = true
 		return
 	}
-	n.handOver()
+	// Said first: a leader that hands over takes no more commands.
 	n.ask([]Command{{Book: membersBook, Kind: leaves, Data: canon.Encode(Member{Name: n.set.Name, Incarnation: n.inc})}})
+	n.handOver()
 	n.gone = true
 }
 
--- a/internal/quorum/quorum_test.go
+++ b/internal/quorum/quorum_test.go
@@ -671,3 +671,18 @@
 		t.Errorf("outcome %v, %d wait, votes %t, identity %v on the disk, %v", o, len(g.node.open), g.node.raft != nil, g.disk.identity, g.node.id)
 	}
 }
+
+// A leader that leaves says so in the log, and another leads before anybody would have missed it.
+func TestLeaderLeaves(t *testing.T) {
+	s := begun(t, 38, 3, 1)
+	lead := s.leaders()[0]
+	s.all[lead].handle(Leave{})
+	if !s.play(s.all[lead].set.Election/2, func() bool { l := s.leaders(); return len(l) == 1 && l[0] != lead }) {
+		t.Errorf("leaders %v", s.leaders())
+	}
+	s.kill(lead)
+	s.play(1500, nil)
+	if s.standing(lead) != Left {
+		t.Errorf("%s is %v", lead, s.standing(lead))
+	}
+}
