Owned work on the agreed log: an agent in the council's loop, records that check tokens, job commands

Need: the pure half of owned work had no place in a gateway. A place follows the log to its own start before it takes anything, so one whose record is lost does not take an old token. A frame that no byte of went out is told as never sent, so an unsafe step to a gateway that is down is not in doubt. Checked stores moved to a package of their own, used by both.

--- a/example/quorum/g3.hcl
+++ b/example/quorum/g3.hcl
@@ -10,3 +10,4 @@
     address = "127.0.0.1:7102"
   }
 }
+jobs {}
--- a/internal/bite/main.go
+++ b/internal/bite/main.go
@@ -44,8 +44,8 @@
 	{"a slow disk leads on", "internal/quorum/node.go", "if n.slow && n.raft", "if false && n.raft", agreement, "TestDisks"},
 	{"what waits goes out under a new incarnation", "internal/quorum/council.go", "\tn.open = nil\n", "", agreement, "TestRemovedDropsWhatWaits"},
 	{"a snapshot without the newcomer", "internal/quorum/node.go", "\t\tn.welcome()\n", "", agreement, "TestVoterReplaced"},
-	{"a checksum is not looked at", "internal/quorum/drive/store.go", "if len(v) < 8 || binary.BigEndian.Uint64(v) != sum(key, v[8:]) {", "if len(v) < 8 {", disk, "TestSpoilt"},
-	{"a torn head is passed over", "internal/quorum/drive/store.go", "if err := heads(path); err != nil {", "if err := heads(path); false {", disk, "TestSpoilt"},
+	{"a checksum is not looked at", "internal/checked/checked.go", "if len(v) < 8 || binary.BigEndian.Uint64(v) != sum(key, v[8:]) {", "if len(v) < 8 {", disk, "TestSpoilt"},
+	{"a torn head is passed over", "internal/checked/checked.go", "if err := heads(path); err != nil {", "if err := heads(path); false {", disk, "TestSpoilt"},
 	{"token check left out at the place", "internal/owner/gate.go", "token < newer {", "token < newer && false {", owned, "TestOldOwnerWakesLate"},
 	{"a floor is not kept for what is forgotten", "internal/owner/gate.go", "g.floor = max(g.floor, g.seen[old].token)", "", owned, "TestRefusals"},
 	{"meant not agreed first", "internal/owner/work.go", "if j.Type == Unsafe && j.Meant[step] != u.token {", "if false {", owned, "TestOldOwnerWakesLate"},
@@ -56,7 +56,7 @@
 	{"a second owner beside the first", "internal/owner/book.go", "case j.Owner != \"\":", "case false:", owned, "TestOldOwnerWakesLate"},
 	{"what may have run goes out again", "internal/owner/work.go", "case t == Unsafe && e == Perhaps:", "case false:", owned, "TestEnds"},
 	{"what ended is told once and never again", "internal/owner/work.go", "\t\t\tdo = append(do, u.told[step])\n", "\t\t\t_ = step\n", owned, "TestToldAgain"},
-	{"flapping is not held off", "internal/owner/plan.go", "if w.There && now >= r.at+hold {", "if w.There && now >= r.at+0*hold {", owned, "TestPlanner"},
+	{"flapping is not held off", "internal/owner/plan.go", "if w.There && !w.Idle && now >= r.at+hold {", "if w.There && !w.Idle && now >= r.at+0*hold {", owned, "TestPlanner"},
 }
 
 func main() {
--- a/internal/gateway/council.go
+++ b/internal/gateway/council.go
@@ -7,6 +7,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"poppymill/internal/footprint"
+	owned "poppymill/internal/owner/drive"
 	"poppymill/internal/quorum/drive"
 )
 
@@ -18,14 +19,24 @@
 	end     context.CancelFunc
 }
 
-func newCouncil(b drive.Block, c *footprint.Config, log logrus.FieldLogger) (*council, error) {
+func newCouncil(o *Settings, c *footprint.Config, log logrus.FieldLogger) (*council, error) {
 	k := &council{log: log, end: func() {}}
+	b := o.Quorum
 	if !b.On {
 		return k, nil
 	}
 	zone, _ := c.Footprint["zone"].(string)
-	var err error
-	k.council, err = drive.Open(b, c.Name, zone, peersMost(c), nil, log)
+	jobs := o.Jobs
+	crew, err := owned.Open(jobs, b.Store, nil, log)
+	if err != nil {
+		log.WithError(err).Error("jobs: this gateway owns nothing and no effect happens here until it is started anew")
+		jobs.On = false
+		if crew, err = owned.Open(jobs, "", nil, log); err != nil {
+			return k, err
+		}
+	}
+	b.Settings.Works = jobs.On
+	k.council, err = drive.Open(b, c.Name, zone, peersMost(c), crew, log)
 	return k, err
 }
 
--- a/internal/gateway/reload.go
+++ b/internal/gateway/reload.go
@@ -11,6 +11,7 @@
 
 	"poppymill/internal/channel"
 	"poppymill/internal/footprint"
+	owned "poppymill/internal/owner/drive"
 	agreement "poppymill/internal/quorum/drive"
 )
 
@@ -34,6 +35,7 @@
 	log           logrus.FieldLogger
 	guard         *guard
 	quorum        agreement.Block // as started
+	jobs          owned.Block     // as started
 	operator      atomic.Pointer[Settings]
 	done, misread atomic.Int64
 }
@@ -64,6 +66,9 @@
 		c := s.Config
 		r.operator.Store(s.Operator)
 		fixed := r.running.Fixed(c)
+		if !reflect.DeepEqual(s.Operator.Jobs, r.jobs) {
+			fixed = append(fixed, "jobs")
+		}
 		if !reflect.DeepEqual(s.Operator.Quorum, r.quorum) {
 			fixed = append(fixed, "quorum")
 		}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -107,7 +107,7 @@
 		listener.Close()
 		return err
 	}
-	fleet, err := newCouncil(s.Operator.Quorum, c, log)
+	fleet, err := newCouncil(s.Operator, c, log)
 	if err != nil {
 		listener.Close()
 		return err
@@ -122,7 +122,7 @@
 	following, unfollow := context.WithCancel(context.Background())
 	defer unfollow()
 	g.Go(func() error { follower.Run(following); return nil })
-	reload := &reloader{Reloads: reloads, running: c, follower: follower, log: log, guard: guard, quorum: s.Operator.Quorum}
+	reload := &reloader{Reloads: reloads, running: c, follower: follower, log: log, guard: guard, quorum: s.Operator.Quorum, jobs: s.Operator.Jobs}
 	reload.operator.Store(s.Operator)
 	g.Go(func() error { reload.run(following); return nil })
 	g.Go(func() error { return server.Serve(following, listener) })
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -1,8 +1,11 @@
 package gateway
 
 import (
+	"fmt"
+
 	"poppymill/internal/links/drive"
 	"poppymill/internal/operator"
+	owned "poppymill/internal/owner/drive"
 	agreement "poppymill/internal/quorum/drive"
 )
 
@@ -12,6 +15,7 @@
 	Links  drive.Block
 	Fair   Fairness
 	Quorum agreement.Block
+	Jobs   owned.Block
 }
 
 // LoadSettings reads an operator's file; no path is no file, and settings that change nothing.
@@ -25,8 +29,12 @@
 		return nil, err
 	}
 	if err := operator.Parse(text, path, operator.One("log", s.Log.Fields), operator.One("links", s.Links.Fields),
-		operator.One("fair", s.Fair.Fields), operator.One("quorum", s.Quorum.Fields)); err != nil {
+		operator.One("fair", s.Fair.Fields), operator.One("quorum", s.Quorum.Fields),
+		operator.One("jobs", s.Jobs.Fields)); err != nil {
 		return nil, err
 	}
+	if s.Jobs.On && !s.Quorum.On {
+		return nil, fmt.Errorf("%s: jobs: needs the block quorum", path)
+	}
 	return s, nil
 }
--- a/internal/owner/book.go
+++ b/internal/owner/book.go
@@ -21,6 +21,7 @@
 	Incarnation uint64 `cbor:"1,keyasint"`
 	There       bool   `cbor:"2,keyasint"`
 	Losses      uint64 `cbor:"3,keyasint"` // how often it went without a goodbye
+	Idle        bool   `cbor:"4,keyasint"` // it owns nothing: it does not take part in work, or is about to leave
 }
 
 // Bounds of a job.
@@ -28,6 +29,9 @@
 	mostSteps  = 1 << 20
 	mostWindow = 256
 	mostData   = 64 << 10
+	mostPlaces = 1024
+	// mostHistory bounds the changes of a job that are remembered.
+	mostHistory = 48
 )
 
 // New makes an empty book.
@@ -38,18 +42,30 @@
 // Member is word of a member in its place in the log. An owner that has gone owns nothing from that place on, whatever it
 // believes itself.
 func (b *Book) Member(index uint64, name string, w Worker) {
+	if old := b.Workers[name]; old.Incarnation == w.Incarnation {
+		w.Idle = w.Idle || old.Idle // what was said of its leaving holds for as long as this process does
+	}
 	if b.Workers[name] = w; !w.There && w.Incarnation == 0 {
 		delete(b.Workers, name)
 	}
 	for _, j := range b.All() {
 		if j.Owner == name && (!w.There || j.Incarnation != w.Incarnation) {
-			j.part(index)
+			j.part(index, "owner lost")
 		}
 	}
 }
 
+// note remembers a change.
+func (j *Job) note(index uint64, what string) {
+	if len(j.History) >= mostHistory {
+		j.History = append([]Change(nil), j.History[1:]...) // copies of the job that were handed out keep theirs
+	}
+	j.History = append(j.History, Change{Index: index, What: what, Owner: j.Owner, Incarnation: j.Incarnation, Token: j.Token})
+}
+
 // part ends a grant. What was meant under it and not done may have run: nobody runs it again but by an operator's word.
-func (j *Job) part(index uint64) {
+func (j *Job) part(index uint64, why string) {
+	j.note(index, why)
 	j.Owner, j.Incarnation, j.Since = "", 0, index
 	for step := range j.Meant {
 		j.question(step)
@@ -79,7 +95,7 @@
 	if kind == Start {
 		var j Job
 		if canon.Decode(data, &j) != nil || j.Name == "" || j.Steps < 1 || j.Steps > mostSteps || j.Window < 1 || j.Window > mostWindow ||
-			len(j.Data) > mostData || j.Type < Safe || j.Type > Unsafe {
+			len(j.Data) > mostData || len(j.Places) > mostPlaces || j.Type < Safe || j.Type > Unsafe {
 			return ErrBad
 		}
 		return b.start(index, j)
@@ -99,7 +115,7 @@
 	case Grant:
 		err = b.grant(index, j, c)
 	case Release:
-		err = j.release(index, c)
+		err = b.release(index, j, c)
 	case Mean:
 		err = j.mean(c)
 	case Did:
@@ -125,10 +141,12 @@
 }
 
 func (b *Book) start(index uint64, j Job) any {
-	fresh := Job{Name: j.Name, Kind: j.Kind, Data: j.Data, Steps: j.Steps, Type: j.Type, Window: j.Window, Since: index}
+	fresh := Job{Name: j.Name, Kind: j.Kind, Data: j.Data, Steps: j.Steps, Type: j.Type, Window: j.Window, Places: j.Places, Since: index}
+	fresh.note(index, "started")
 	if old := b.Jobs[j.Name]; old != nil {
 		// The same again does nothing; another under the same name would have steps counted as done that never ran.
-		if old.Kind == j.Kind && string(old.Data) == string(j.Data) && old.Steps == j.Steps && old.Type == j.Type && old.Window == j.Window {
+		if old.Kind == j.Kind && string(old.Data) == string(j.Data) && old.Steps == j.Steps && old.Type == j.Type && old.Window == j.Window &&
+			slices.Equal(old.Places, j.Places) {
 			return old.copy()
 		}
 		return ErrOther
@@ -154,7 +172,7 @@
 		return ErrOver
 	}
 	j.State = Stopped
-	j.part(index)
+	j.part(index, "stopped")
 	return nil
 }
 
@@ -167,20 +185,25 @@
 		return ErrOver
 	case j.Owner != "":
 		return ErrOwned
-	case !w.There || w.Incarnation != c.Incarnation:
+	case !w.There || w.Idle || w.Incarnation != c.Incarnation:
 		return ErrAbsent
 	}
 	b.Last++
 	j.Owner, j.Incarnation, j.Token, j.Since = c.Name, c.Incarnation, b.Last, index
 	j.Grants++
+	j.note(index, "granted")
 	return nil
 }
 
-func (j *Job) release(index uint64, c Claim) error {
+func (b *Book) release(index uint64, j *Job, c Claim) error {
 	if j.Owner == "" || c.Token != j.Token {
 		return ErrOld
 	}
-	j.part(index)
+	if w := b.Workers[j.Owner]; c.Leaving && w.Incarnation == j.Incarnation {
+		w.Idle = true
+		b.Workers[j.Owner] = w
+	}
+	j.part(index, "given back")
 	return nil
 }
 
@@ -235,7 +258,7 @@
 	}
 	if j.Next == j.Steps && j.State == Running {
 		j.State = Finished
-		j.part(index)
+		j.part(index, "finished")
 	}
 }
 
@@ -264,6 +287,10 @@
 // Load takes the place of all that was there.
 func (b *Book) Load(text []byte) error {
 	n := New(b.Most)
+	if text == nil {
+		*b = *n
+		return nil
+	}
 	if err := canon.Decode(text, n); err != nil {
 		return fmt.Errorf("jobs: %w", err)
 	}
--- a/internal/owner/door.go
+++ b/internal/owner/door.go
@@ -38,7 +38,26 @@
 	Meant       map[int]uint64 `cbor:"13,keyasint,omitempty"` // unsafe ones, with the token under which they were sent
 	Doubt       map[int]uint64 `cbor:"14,keyasint,omitempty"` // of those, whose owner went before it said that they were done
 	Grants      int            `cbor:"15,keyasint"`
-	Since       uint64         `cbor:"16,keyasint"` // the place in the log of the last change of owner or state
+	Since       uint64         `cbor:"16,keyasint"`           // the place in the log of the last change of owner or state
+	Places      []string       `cbor:"17,keyasint,omitempty"` // gateways at which its effects happen, in turn; none: at its owner
+	History     []Change       `cbor:"18,keyasint,omitempty"` // the last mostHistory of them
+}
+
+// Change is one change of a job's owner or state.
+type Change struct {
+	Index       uint64 `cbor:"1,keyasint" json:"index"`
+	What        string `cbor:"2,keyasint" json:"what"`
+	Owner       string `cbor:"3,keyasint,omitempty" json:"owner,omitempty"`
+	Incarnation uint64 `cbor:"4,keyasint,omitempty" json:"incarnation,omitempty"`
+	Token       uint64 `cbor:"5,keyasint,omitempty" json:"token,omitempty"`
+}
+
+// Place is the gateway at which a step's effect happens; empty: at whoever owns the job.
+func (j *Job) Place(step int) string {
+	if len(j.Places) == 0 {
+		return ""
+	}
+	return j.Places[step%len(j.Places)]
 }
 
 // State is how a job stands.
@@ -55,7 +74,7 @@
 
 // Kinds of commands, each with its content.
 const (
-	Start   = "start"   // Job: name, kind, data, steps, type, window
+	Start   = "start"   // Job: name, kind, data, steps, type, window, places
 	Stop    = "stop"    // Claim: job
 	Grant   = "grant"   // Claim: job, name and incarnation of the new owner; the leader's to ask for
 	Release = "release" // Claim: job and token, by an owner that leaves
@@ -73,6 +92,7 @@
 	Name        string `cbor:"4,keyasint,omitempty"`
 	Incarnation uint64 `cbor:"5,keyasint,omitempty"`
 	Ran         bool   `cbor:"6,keyasint,omitempty"`
+	Leaving     bool   `cbor:"7,keyasint,omitempty"` // of a Release: its owner ends, and is to be granted nothing more
 }
 
 // Results of commands that were agreed and change nothing. They are the same at every gateway.
--- a/internal/owner/gate.go
+++ b/internal/owner/gate.go
@@ -51,6 +51,13 @@
 	if t == Safe || m.keys[step] {
 		return raised, m.keys[step], nil
 	}
+	g.ran(job, step)
+	return raised, false, nil
+}
+
+// ran remembers that a step ran here.
+func (g *Gate) ran(job string, step int) {
+	m := g.seen[job]
 	if m.keys == nil {
 		m.keys = map[int]bool{}
 	}
@@ -62,7 +69,18 @@
 		m.sorts = m.sorts[1:]
 	}
 	g.seen[job] = m
-	return raised, false, nil
+}
+
+// Raise is word of a newer token that came without an effect. It tells whether what Kept gives has changed.
+func (g *Gate) Raise(job string, token uint64) bool {
+	return token > g.Highest(job) && g.raise(job, token)
+}
+
+// Ran puts back that a step ran here, after Restore.
+func (g *Gate) Ran(job string, step int) {
+	if _, known := g.seen[job]; known && !g.seen[job].keys[step] {
+		g.ran(job, step)
+	}
 }
 
 // raise notes a token. A job too many costs the one that was seen first: tokens rise over all jobs, so one floor covers what is
@@ -89,8 +107,8 @@
 // Highest is the token below which nothing passes for a job.
 func (g *Gate) Highest(job string) uint64 { return max(g.seen[job].token, g.floor) }
 
-// Kept is what must outlive a restart of the place: the floor, and the token of each job. Which steps have run is not among it, so
-// a place that runs keyed steps has to know that by itself.
+// Kept is what must outlive a restart of the place: the floor, and the token of each job. Which steps have run is not among it: a
+// place that runs keyed steps keeps that with the steps themselves (Ran).
 func (g *Gate) Kept() (floor uint64, tokens map[string]uint64) {
 	tokens = map[string]uint64{}
 	for job, m := range g.seen {
--- a/internal/owner/plan.go
+++ b/internal/owner/plan.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 )
 
@@ -11,6 +12,7 @@
 	Hold    float64 // ms for which one that was lost once is given nothing after its return; twice as long with each loss
 	Longest float64
 	back    map[string]returned
+	next    float64 // when one that is held off no longer is, where there is work for it
 }
 
 type returned struct {
@@ -24,6 +26,7 @@
 	if p.back == nil {
 		p.back = map[string]returned{}
 	}
+	p.next = math.Inf(1)
 	load := map[string]int{}
 	var able []string
 	for _, name := range slices.Sorted(maps.Keys(b.Workers)) {
@@ -38,8 +41,10 @@
 		if w.Losses > 0 {
 			hold = min(p.Longest, p.Hold*float64(uint64(1)<<min(w.Losses-1, 20)))
 		}
-		if w.There && now >= r.at+hold {
+		if w.There && !w.Idle && now >= r.at+hold {
 			able = append(able, name)
+		} else if w.There && !w.Idle {
+			p.next = min(p.next, r.at+hold)
 		}
 	}
 	maps.DeleteFunc(p.back, func(name string, _ returned) bool { _, ok := b.Workers[name]; return !ok })
--- a/internal/owner/work.go
+++ b/internal/owner/work.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 )
 
@@ -10,6 +11,8 @@
 type Work struct {
 	Name        string
 	Incarnation uint64
+	Rest        float64 // ms for which a job rests after a step that did not run; twice as long with each one more
+	LongestRest float64
 	jobs        map[string]*under
 	leaving     bool
 }
@@ -21,6 +24,9 @@
 	asked map[int]bool // steps for which a Mean is on its way
 	told  map[int]Ask  // what was asked for of steps that ended, and is not agreed as far as this member has followed
 	over  bool         // its release is on its way
+	lost  bool         // a place has refused its token: it sends nothing more under it
+	fails int          // steps that did not run, since one did
+	until float64      // when it has rested
 }
 
 // Actions of Work, in the order in which they are to be carried out.
@@ -30,6 +36,7 @@
 		Job   Job
 		Token uint64
 		Step  int
+		By    float64 // when it is taken for lost
 	}
 	// Ask has a command agreed. It may be lost: Again asks for it anew.
 	Ask struct {
@@ -50,7 +57,7 @@
 )
 
 // See takes the jobs as the log has them by now, and goes on.
-func (w *Work) See(b *Book) (do []any) {
+func (w *Work) See(now float64, b *Book) (do []any) {
 	if w.jobs == nil {
 		w.jobs = map[string]*under{}
 	}
@@ -68,13 +75,13 @@
 			u = &under{token: j.Token, out: map[int]bool{}, asked: map[int]bool{}, told: map[int]Ask{}}
 			w.jobs[j.Name] = u
 		}
-		do = append(do, w.carryOn(j, u)...)
+		do = append(do, w.carryOn(now, j, u)...)
 	}
 	return do
 }
 
 // carryOn sends what has room in the job's window.
-func (w *Work) carryOn(j *Job, u *under) (do []any) {
+func (w *Work) carryOn(now float64, j *Job, u *under) (do []any) {
 	for step := range u.told {
 		// An unsafe one that is no longer meant by this grant was settled, by a word of this member's or by an operator's.
 		if !j.open(step) || j.Type == Unsafe && j.Meant[step] != u.token {
@@ -82,13 +89,17 @@
 			delete(u.out, step)
 		}
 	}
-	if w.leaving {
+	if w.leaving || u.lost {
 		if len(u.out) == 0 && !u.over {
 			u.over = true
-			do = append(do, Ask{Release, Claim{Job: j.Name, Token: u.token}})
+			do = append(do, Ask{Release, Claim{Job: j.Name, Token: u.token, Leaving: w.leaving}})
 		}
 		return do
 	}
+	if now < u.until {
+		return do
+	}
+	u.until = 0
 	for step := j.Next; step < min(j.Steps, j.Next+j.Window); step++ {
 		if _, doubt := j.Doubt[step]; doubt || !j.open(step) || u.out[step] {
 			continue
@@ -108,7 +119,7 @@
 }
 
 // Ended takes how a step ended that was sent under a token.
-func (w *Work) Ended(job string, token uint64, step int, t Type, e End) (do []any) {
+func (w *Work) Ended(now float64, job string, token uint64, step int, t Type, e End) (do []any) {
 	u := w.jobs[job]
 	mine := u != nil && u.token == token
 	switch {
@@ -116,21 +127,37 @@
 		// Told even where this member owns no more: the log settles a doubt by it.
 		ask := Ask{Did, Claim{Job: job, Token: token, Step: step}}
 		if mine {
-			u.told[step] = ask
+			u.told[step], u.fails, u.until = ask, 0, 0
 		}
 		do = append(do, ask)
 	case !mine:
 	case e == Refused:
-		delete(w.jobs, job)
+		// It owns no more, or its place has forgotten so much that only a newer token passes there: it gives the job back, for
+		// whoever is granted it next.
+		u.lost = true
+		delete(u.out, step)
 	case t == Unsafe && e == Perhaps:
 		u.told[step] = Ask{Unsure, Claim{Job: job, Token: token, Step: step}}
 		do = append(do, u.told[step])
 	default:
 		delete(u.out, step) // it goes out again
+		u.until = now + min(w.LongestRest, w.Rest*float64(uint64(1)<<min(u.fails, 20)))
+		u.fails++
 	}
 	return do
 }
 
+// Next is when a job that rests goes on.
+func (w *Work) Next() float64 {
+	next := math.Inf(1)
+	for _, u := range w.jobs {
+		if u.until > 0 {
+			next = min(next, u.until)
+		}
+	}
+	return next
+}
+
 // Again asks anew for all that was asked for and is not agreed, as far as this member has followed: of what was agreed meanwhile
 // the second copy changes nothing.
 func (w *Work) Again() (do []any) {
--- a/internal/quorum/door.go
+++ b/internal/quorum/door.go
@@ -26,6 +26,7 @@
 	Retry    float64           // ms after which a command that was not agreed is sent again
 	Replace  float64           // ms for which a voter must be gone before another gets its vote; 0: never
 	Diskless bool              // it has no store, and only follows
+	Works    bool              // it takes part in owned work; what the others are told of it
 	Seed     uint64
 }
 
@@ -102,9 +103,10 @@
 	// Outcome ends a Propose: agreed at that place, or an error. After ErrGivenUp it may still be agreed; after ErrRepeated it was,
 	// at a place that this gateway did not see, and its book tells what became of it.
 	Outcome struct {
-		Token uint64
-		Index uint64
-		Err   error
+		Token  uint64
+		Index  uint64
+		Result any // of its book
+		Err    error
 	}
 	// Say is a line for people.
 	Say struct {
@@ -134,13 +136,20 @@
 	Seq  uint64 `cbor:"5,keyasint,omitempty"`
 }
 
-// Book is a state that commands change, the same at every gateway. It must be a function of the commands alone.
+// Book is a state that commands change, the same at every gateway. It must be a function of the commands alone. Load of nothing
+// makes it as empty as it was at first.
 type Book interface {
 	Apply(index uint64, c Command) any
 	Save() []byte
 	Load([]byte) error
 }
 
+// Hearer is a Book that has to know of members as well. Word of one comes in its place in the log, as commands do; Standing Unknown
+// is a name that was forgotten.
+type Hearer interface {
+	Member(index uint64, m Member)
+}
+
 // Standing is how a member stands, as the log says.
 type Standing int
 
--- a/internal/quorum/drive/peers.go
+++ b/internal/quorum/drive/peers.go
@@ -157,15 +157,17 @@
 }
 
 // post puts a frame in the queue, or lets go of it where too much waits.
-func (l *link) post(f quorum.Frame) {
+func (l *link) post(f quorum.Frame) bool {
 	b := f.Append(nil)
 	if l.queued.Load()+int64(len(b)) > queueBytes {
-		return
+		return false
 	}
 	select {
 	case l.queue <- b:
 		l.queued.Add(int64(len(b)))
+		return true
 	default:
+		return false
 	}
 }
 
@@ -186,14 +188,18 @@
 }
 
 // send puts a frame in a peer's queue, or opens a connection to it for it. While one is being opened what comes more is let go of:
-// whoever sent it sends again.
-func (p *peers) send(to string, f quorum.Frame) {
+// whoever sent it sends again. Never, where there is one, is called from anywhere where no byte of the frame can have gone out.
+func (p *peers) send(to string, f quorum.Frame, never func()) {
+	if never == nil {
+		never = func() {}
+	}
 	p.mu.Lock()
 	l := p.links[to]
 	if l == nil {
 		address := p.address(to)
 		if address == "" || p.dialling[to] || time.Since(p.dialled[to]) < redialAfter || p.ctx.Err() != nil {
 			p.mu.Unlock()
+			never()
 			return
 		}
 		p.dialling[to] = true
@@ -208,6 +214,7 @@
 			p.mu.Unlock()
 			if err != nil {
 				p.lost(to)
+				never()
 				return
 			}
 			p.run(nc, to, f)
@@ -215,7 +222,9 @@
 		return
 	}
 	p.mu.Unlock()
-	l.post(f)
+	if !l.post(f) {
+		never()
+	}
 }
 
 func (p *peers) close() {
--- a/internal/quorum/frame.go
+++ b/internal/quorum/frame.go
@@ -14,15 +14,17 @@
 
 // The kinds of frames.
 const (
-	Hello   Kind = iota + 1 // who I am, and whether I belong to a fleet; answered by a Hello that repeats its nonce
-	Found                   // a founding to take up
-	Raft                    // a message of raft's
-	Ask                     // commands to be agreed, on their way to the leader
-	Renew                   // renewals of leases, gathered; and how far the sender has followed
-	Follow                  // entries, or a snapshot, for one that follows; also who leads
-	Yield                   // a newer process of your name is there
-	Removed                 // you vote no more, as your identity was replaced: Voters, Applied
-	Status                  // a person's question, and its answer
+	Hello    Kind = iota + 1 // who I am, and whether I belong to a fleet; answered by a Hello that repeats its nonce
+	Found                    // a founding to take up
+	Raft                     // a message of raft's
+	Ask                      // commands to be agreed, on their way to the leader
+	Renew                    // renewals of leases, gathered; and how far the sender has followed
+	Follow                   // entries, or a snapshot, for one that follows; also who leads
+	Yield                    // a newer process of your name is there
+	Removed                  // you vote no more, as your identity was replaced: Voters, Applied
+	Status                   // a person's question, and its answer
+	Effect                   // a step of owned work for its place; this package does not look into it
+	Effected                 // what became of it
 )
 
 // Frame is all that goes between two peers. What is not used by its kind is empty.
@@ -83,7 +85,7 @@
 	switch err = canon.Decode(content, &f); {
 	case err != nil:
 		err = fmt.Errorf("frame: %w", err)
-	case f.Kind < Hello || f.Kind > Status || len(f.Commands)+len(f.Renewals) > mostListed:
+	case f.Kind < Hello || f.Kind > Effected || len(f.Commands)+len(f.Renewals) > mostListed:
 		err = fmt.Errorf("frame: %w: of kind %d, with %d commands and %d renewals", canon.ErrUnreadable, f.Kind, len(f.Commands), len(f.Renewals))
 	}
 	return f, err
--- a/internal/quorum/members.go
+++ b/internal/quorum/members.go
@@ -22,6 +22,7 @@
 	Losses      uint64   `cbor:"9,keyasint"`  // how often its lease ran out, or it was replaced without a goodbye
 	Doubled     uint64   `cbor:"10,keyasint"` // the newest of its older processes that was heard of after it was replaced
 	Seq         uint64   `cbor:"11,keyasint"` // the last of its commands that counted
+	Works       bool     `cbor:"12,keyasint"` // it takes part in owned work
 }
 
 // What the book of members hears.
@@ -50,6 +51,8 @@
 	Most  int                `cbor:"-"`
 	Last  uint64             `cbor:"1,keyasint"` // the last incarnation given out; it only rises
 	Names map[string]*Member `cbor:"2,keyasint"`
+
+	forgot string // the name that the last join took the place of
 }
 
 func newMembers(most int) *Members { return &Members{Most: most, Names: map[string]*Member{}} }
@@ -143,7 +146,7 @@
 		x.Losses++
 	}
 	m.Last++
-	x.Zone, x.Address, x.Identity, x.Nonce = j.Zone, j.Address, j.Identity, j.Nonce
+	x.Zone, x.Address, x.Identity, x.Nonce, x.Works = j.Zone, j.Address, j.Identity, j.Nonce, j.Works
 	x.Incarnation, x.Standing, x.Since, x.Seq = m.Last, Joined, index, 0
 	return *x
 }
@@ -163,6 +166,7 @@
 		return false
 	}
 	delete(m.Names, old.Name)
+	m.forgot = old.Name
 	return true
 }
 
--- a/internal/quorum/node.go
+++ b/internal/quorum/node.go
@@ -165,9 +165,13 @@
 		return err
 	}
 	for name, b := range n.books {
-		if text, ok := s.Books[name]; ok {
-			if err := b.Load(text); err != nil {
-				return fmt.Errorf("book %s: %w", name, err)
+		text, ok := s.Books[name]
+		if err := b.Load(text); err != nil {
+			return fmt.Errorf("book %s: %w", name, err)
+		}
+		if h, hears := b.(Hearer); hears && !ok { // the book is newer than that state
+			for _, m := range n.members.All() {
+				h.Member(index, *m)
 			}
 		}
 	}
@@ -320,6 +324,17 @@
 	}
 }
 
+// Leads tells whether this gateway leads, as far as it knows.
+func (n *Node) Leads() bool { return n.leads() }
+
+// Incarnation is that of this process; 0 before the log has given it one, and once it asks for nothing more.
+func (n *Node) Incarnation() uint64 {
+	if n.yielded || n.gone {
+		return 0
+	}
+	return n.inc
+}
+
 func (n *Node) leads() bool {
 	return n.raft != nil && n.raft.BasicStatus().RaftState == raft.StateLeader
 }
@@ -519,7 +534,7 @@
 		if c.From == n.inc && c.Seq == p.c.Seq && c.From != 0 && result != ErrEarly {
 			n.open = slices.Delete(n.open, i, i+1)
 			if err, _ := result.(error); p.token != 0 {
-				n.do(Outcome{Token: p.token, Index: index, Err: err})
+				n.do(Outcome{Token: p.token, Index: index, Result: result, Err: err})
 			}
 			break
 		}
@@ -532,6 +547,15 @@
 	if !ok {
 		return
 	}
+	for _, name := range slices.Sorted(maps.Keys(n.books)) {
+		if h, hears := n.books[name].(Hearer); hears {
+			if n.members.forgot != "" {
+				h.Member(n.applied, Member{Name: n.members.forgot})
+			}
+			h.Member(n.applied, m)
+		}
+	}
+	n.members.forgot = ""
 	n.say("member", "name", m.Name, "incarnation", m.Incarnation, "is", m.Standing.String(), "index", m.Since)
 	n.renewed[m.Incarnation] = n.now
 	if c.Kind == doubled {
--- a/internal/quorum/peers.go
+++ b/internal/quorum/peers.go
@@ -240,7 +240,7 @@
 		before = m.Incarnation
 	}
 	n.ask([]Command{{Book: membersBook, Kind: joins, Data: canon.Encode(Member{Name: n.set.Name, Zone: n.set.Zone, Address: n.set.Address,
-		Nonce: n.nonce, Identity: id, Incarnation: before})}})
+		Nonce: n.nonce, Identity: id, Incarnation: before, Works: n.set.Works})}})
 }
 
 func (n *Node) leave() {
