Owned work between real processes: failpoints, the owner frozen, cut off, killed; job fence and settle by record

Need: the hard cases of one owner at a time have to be shown on real processes. Debug builds have failpoints (stop or kill itself at a named place, armed by SIGHUP); the stage asks for jobs, copies, loses and fills disks, and reads the records of places, which the auditor judges (tokens never fall at a place, no step twice that must not). Found by it: a window of steps in doubt held up all work behind it (now a span of 1,024 steps is open), and a place that nobody gave a newer token to proves nothing by its record (now job fence, and job settle --by-record).

--- a/cmd/poppymill/job.go
+++ b/cmd/poppymill/job.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"os"
@@ -10,8 +11,6 @@
 	"text/tabwriter"
 	"time"
 
-	"encoding/json"
-
 	"github.com/urfave/cli/v3"
 
 	"poppymill/internal/canon"
@@ -39,8 +38,11 @@
 			&cli.StringSliceFlag{Name: "place", Usage: "gateways at which the steps happen, in turn; none: at the owner"},
 			&cli.StringFlag{Name: "data", Usage: "what the kind needs"}), Action: jobStart},
 		{Name: "stop", Usage: "have nothing more of a job go out", ArgsUsage: "ADDRESS NAME", Flags: flags, Action: jobStop},
+		{Name: "fence", Usage: "end the present grant: the next one has a newer token, and places refuse what is still on its way", ArgsUsage: "ADDRESS NAME",
+			Flags: flags, Action: jobFence},
 		{Name: "settle", Usage: "say of a step that may have run whether it did; it must be true", ArgsUsage: "ADDRESS NAME STEP",
-			Flags: append(flags[:2:2], &cli.BoolFlag{Name: "ran"}, &cli.BoolFlag{Name: "never-ran", Usage: "it goes out again"}), Action: jobSettle},
+			Flags: append(flags[:2:2], &cli.BoolFlag{Name: "ran"}, &cli.BoolFlag{Name: "never-ran", Usage: "it goes out again"},
+				&cli.BoolFlag{Name: "by-record", Usage: "fence the job and go by the records of the places, for all such steps; no STEP then"}), Action: jobSettle},
 	}}
 }
 
@@ -161,6 +163,8 @@
 		what := "happened"
 		if e.Refused > 0 {
 			what = fmt.Sprintf("refused: token %d was seen", e.Refused)
+		} else if e.Told {
+			what = "told by the log"
 		} else if e.Again {
 			what = "had happened before"
 		}
@@ -207,13 +211,94 @@
 	return order(ctx, cmd, 2, owner.Stop, owner.Claim{Job: cmd.Args().Get(1)})
 }
 
+func jobFence(ctx context.Context, cmd *cli.Command) error {
+	return order(ctx, cmd, 2, owner.Fence, owner.Claim{Job: cmd.Args().Get(1)})
+}
+
 func jobSettle(ctx context.Context, cmd *cli.Command) error {
+	if cmd.Bool("by-record") {
+		return settleByRecord(ctx, cmd)
+	}
 	step, err := strconv.Atoi(cmd.Args().Get(2))
 	switch {
 	case cmd.Args().Len() == 3 && (err != nil || step < 0):
 		return unusable(fmt.Errorf("job settle: STEP: %q is no number of a step", cmd.Args().Get(2)))
 	case cmd.Bool("ran") == cmd.Bool("never-ran"):
-		return unusable(errors.New("job settle: one of --ran and --never-ran says what became of it"))
+		return unusable(errors.New("job settle: one of --ran, --never-ran and --by-record says what became of it"))
 	}
 	return order(ctx, cmd, 3, owner.Verdict, owner.Claim{Job: cmd.Args().Get(1), Step: step, Ran: cmd.Bool("ran")})
 }
+
+// settleByRecord goes by what the places have on record, which proves nothing before they have word of a newer token than that under
+// which a step was sent: so the job is fenced first.
+func settleByRecord(ctx context.Context, cmd *cli.Command) error {
+	ctx, cancel := context.WithTimeout(ctx, cmd.Duration("within"))
+	defer cancel()
+	address, name := cmd.Args().First(), cmd.Args().Get(1)
+	if cmd.Args().Len() != 2 {
+		return unusable(errors.New("job settle --by-record: takes ADDRESS NAME"))
+	}
+	ask := func(address string, q drive.Question, to any) (quorum.Report, error) {
+		r, err := drive.Put(ctx, address, q)
+		if err == nil && r.Error != "" {
+			err = errors.New(r.Error)
+		}
+		if err == nil {
+			err = json.Unmarshal(r.Body, to)
+		}
+		if err != nil {
+			err = fmt.Errorf("%s: %w", address, err)
+		}
+		return r.Report, err
+	}
+	command := func(kind string, c owner.Claim) *quorum.Command {
+		return &quorum.Command{Book: owned.Book, Kind: kind, Data: canon.Encode(c)}
+	}
+	var j owner.Report
+	all, err := ask(address, drive.Question{About: "job", Name: name, Command: command(owner.Fence, owner.Claim{Job: name})}, &j)
+	settled, left := 0, 0
+	for _, d := range j.Doubt {
+		at := ""
+		for _, m := range all.Members {
+			if m.Name == d.Place {
+				at = m.Address
+			}
+		}
+		if at == "" {
+			fmt.Fprintf(os.Stderr, "step %d: its place %q keeps no record: what became of it has to be found out by hand\n", d.Step, d.Place)
+			left++
+			continue
+		}
+		ran, fenced := false, false
+		for !ran && !fenced && err == nil {
+			var entries []place.Entry
+			if _, err = ask(at, drive.Question{About: "effects", Name: name}, &entries); err != nil {
+				break
+			}
+			ran, fenced = owned.OnRecord(entries, name, d)
+			if !ran && !fenced { // it has not heard of the next grant yet
+				select {
+				case <-time.After(50 * time.Millisecond):
+				case <-ctx.Done():
+					err = fmt.Errorf("%s: step %d: it has no word of a newer token yet", at, d.Step)
+				}
+			}
+		}
+		if err == nil {
+			_, err = ask(address, drive.Question{About: "job", Name: name, Command: command(owner.Verdict, owner.Claim{Job: name, Step: d.Step, Ran: ran})}, &j)
+		}
+		if err != nil {
+			break
+		}
+		fmt.Printf("step %d: %s\n", d.Step, map[bool]string{true: "ran", false: "never ran, and goes out again"}[ran])
+		settled++
+	}
+	if err != nil {
+		return cli.Exit(fmt.Sprintf("job settle: %v", err), 1)
+	}
+	if left > 0 {
+		return cli.Exit("", 1)
+	}
+	fmt.Printf("%s: %d steps settled\n", name, settled)
+	return nil
+}
--- a/internal/gateway/council.go
+++ b/internal/gateway/council.go
@@ -6,6 +6,7 @@
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
+	"poppymill/internal/failpoint"
 	"poppymill/internal/footprint"
 	owned "poppymill/internal/owner/drive"
 	"poppymill/internal/quorum/drive"
@@ -25,6 +26,7 @@
 	if !b.On {
 		return k, nil
 	}
+	failpoint.Set(o.Fails)
 	zone, _ := c.Footprint["zone"].(string)
 	jobs := o.Jobs
 	crew, err := owned.Open(jobs, b.Store, nil, log)
--- a/internal/gateway/reload.go
+++ b/internal/gateway/reload.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"poppymill/internal/channel"
+	"poppymill/internal/failpoint"
 	"poppymill/internal/footprint"
 	owned "poppymill/internal/owner/drive"
 	agreement "poppymill/internal/quorum/drive"
@@ -66,6 +67,7 @@
 		c := s.Config
 		r.operator.Store(s.Operator)
 		fixed := r.running.Fixed(c)
+		failpoint.Set(s.Operator.Fails)
 		if !reflect.DeepEqual(s.Operator.Jobs, r.jobs) {
 			fixed = append(fixed, "jobs")
 		}
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 
+	"poppymill/internal/failpoint"
 	"poppymill/internal/links/drive"
 	"poppymill/internal/operator"
 	owned "poppymill/internal/owner/drive"
@@ -16,6 +17,7 @@
 	Fair   Fairness
 	Quorum agreement.Block
 	Jobs   owned.Block
+	Fails  failpoint.Block
 }
 
 // LoadSettings reads an operator's file; no path is no file, and settings that change nothing.
@@ -30,7 +32,7 @@
 	}
 	if err := operator.Parse(text, path, operator.One("log", s.Log.Fields), operator.One("links", s.Links.Fields),
 		operator.One("fair", s.Fair.Fields), operator.One("quorum", s.Quorum.Fields),
-		operator.One("jobs", s.Jobs.Fields)); err != nil {
+		operator.One("jobs", s.Jobs.Fields), operator.One("failpoints", s.Fails.Fields)); err != nil {
 		return nil, err
 	}
 	if s.Jobs.On && !s.Quorum.On {
--- a/internal/owner/book.go
+++ b/internal/owner/book.go
@@ -28,6 +28,9 @@
 const (
 	mostSteps  = 1 << 20
 	mostWindow = 256
+	// mostSpan bounds how far work goes on beyond a step that is not done, as one that may have run and of which nobody has said
+	// whether it did. Places remember as many steps of a job.
+	mostSpan   = 4 * mostWindow
 	mostData   = 64 << 10
 	mostPlaces = 1024
 	// mostHistory bounds the changes of a job that are remembered.
@@ -122,6 +125,8 @@
 		err = j.did(index, c)
 	case Unsure:
 		err = j.unsure(c)
+	case Fence:
+		err = j.fence(index)
 	case Verdict:
 		err = j.verdict(index, c)
 	default:
@@ -271,6 +276,17 @@
 	return nil
 }
 
+// fence ends the present grant. Once a place has word of the next one, what it has not on record did not run and never will.
+func (j *Job) fence(index uint64) error {
+	if j.State != Running {
+		return ErrOver
+	}
+	if j.Owner != "" {
+		j.part(index, "fenced")
+	}
+	return nil
+}
+
 func (j *Job) verdict(index uint64, c Claim) error {
 	if _, doubt := j.Doubt[c.Step]; !doubt {
 		return ErrSent
--- a/internal/owner/door.go
+++ b/internal/owner/door.go
@@ -81,6 +81,7 @@
 	Mean    = "mean"    // Claim: job, token, step
 	Did     = "did"     // Claim: job, token, step
 	Unsure  = "unsure"  // Claim: job, token, step: its owner can't know whether it ran
+	Fence   = "fence"   // Claim: job. An operator's: its next grant has a newer token, so that places refuse what is still on its way
 	Verdict = "verdict" // Claim: job, step, ran: an operator's word on a step that may have run
 )
 
--- a/internal/owner/drive/crew.go
+++ b/internal/owner/drive/crew.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"poppymill/internal/canon"
+	"poppymill/internal/failpoint"
 	"poppymill/internal/owner"
 	"poppymill/internal/owner/place"
 	"poppymill/internal/quorum"
@@ -46,7 +47,6 @@
 	busy    bool
 	closed  bool
 	now     float64
-	wait    func(string) // called at named places in the code; nil: none
 }
 
 // book words the log's commands for owner.Book.
@@ -157,6 +157,12 @@
 	for _, a := range actions {
 		switch a := a.(type) {
 		case owner.Ask:
+			switch a.Kind {
+			case owner.Did:
+				failpoint.Here(failpoint.Happened)
+			case owner.Grant:
+				failpoint.Here(failpoint.Granting)
+			}
 			c.council.Propose(quorum.Command{Book: Book, Kind: a.Kind, Data: canon.Encode(a.Claim)}, func(o quorum.Outcome) {
 				// Of what its process no longer may ask for nothing comes again.
 				c.Handle(c.now, owner.Answered{InVain: errors.Is(o.Err, quorum.ErrGivenUp) || errors.Is(o.Err, quorum.ErrBusy)})
@@ -164,6 +170,7 @@
 		case owner.Raise:
 			c.place.Raise(a.Job, a.Token)
 		case owner.Do:
+			failpoint.Here(failpoint.Sending)
 			c.send(a)
 		}
 	}
@@ -173,6 +180,9 @@
 func (c *Crew) send(a owner.Do) {
 	e := place.Effect{Job: a.Job.Name, Kind: a.Job.Kind, Token: a.Token, Step: a.Step, Type: a.Job.Type, Data: a.Job.Data, From: c.stand.Name, Incarnation: c.stand.Incarnation}
 	ended := func(end owner.End) {
+		if end == owner.NeverRan {
+			c.log.WithFields(logrus.Fields{"job": e.Job, "step": e.Step, "place": a.Job.Place(a.Step)}).Warn("jobs: a step could not be sent")
+		}
 		c.council.Post(owner.Ended{Job: e.Job, Token: e.Token, Step: e.Step, End: end})
 	}
 	if hand, is := c.hands[e.Kind]; is {
@@ -192,6 +202,9 @@
 	if a.Frame.Kind == quorum.Effected {
 		var r place.Effected
 		if canon.Decode(a.Frame.Data, &r) == nil && r.End >= owner.Ran && r.End <= owner.Refused {
+			if r.End != owner.Ran {
+				c.log.WithFields(logrus.Fields{"job": r.Job, "step": r.Step, "token": r.Token, "place": a.From}).Warn("jobs: a step did not run: " + r.Why)
+			}
 			c.carry(c.agent.Handle(c.now, owner.Ended{Job: r.Job, Token: r.Token, Step: r.Step, End: r.End}))
 		}
 		return
@@ -225,7 +238,7 @@
 			return err
 		}
 		return c.check(j)
-	case owner.Stop, owner.Verdict:
+	case owner.Stop, owner.Fence, owner.Verdict:
 		return nil
 	}
 	return fmt.Errorf("%s: not for people to ask for", command.Kind)
@@ -282,3 +295,15 @@
 
 // mostTold bounds the effects of one answer, which has to fit a frame.
 const mostTold = 4096
+
+// OnRecord tells what a place's record says of a step that may have run: that it did, or that the place has word of a newer token
+// than the one under which it was sent. With that word and without the step on record, it did not run there and never will.
+func OnRecord(entries []place.Entry, job string, d owner.Doubt) (ran, fenced bool) {
+	for _, e := range entries {
+		if e.Effect.Job == job && e.Refused == 0 {
+			ran = ran || e.Effect.Step == d.Step && !e.Told
+			fenced = fenced || e.Effect.Token > d.Token
+		}
+	}
+	return ran, fenced
+}
--- a/internal/owner/gate.go
+++ b/internal/owner/gate.go
@@ -23,8 +23,8 @@
 	sorts []int        // the same in their order, so that the oldest go first
 }
 
-// mostKeys bounds the steps of one job that a place remembers; they come in order, a window of them at a time.
-const mostKeys = 4 * mostWindow
+// mostKeys bounds the steps of one job that a place remembers: none comes from further back than a span and what was under way.
+const mostKeys = mostSpan + mostWindow
 
 // NewGate makes a gate that remembers so many jobs.
 func NewGate(most int) *Gate { return &Gate{most: most, seen: map[string]mark{}} }
--- a/internal/owner/place/place.go
+++ b/internal/owner/place/place.go
@@ -17,6 +17,7 @@
 
 	"poppymill/internal/canon"
 	"poppymill/internal/checked"
+	"poppymill/internal/failpoint"
 	"poppymill/internal/owner"
 )
 
@@ -48,6 +49,7 @@
 	Effect  Effect `cbor:"2,keyasint" json:"effect"`
 	Refused uint64 `cbor:"3,keyasint,omitempty" json:"refused,omitempty"` // the newer token; 0: it happened
 	Again   bool   `cbor:"4,keyasint,omitempty" json:"again,omitempty"`   // it had happened before and did not happen twice
+	Told    bool   `cbor:"5,keyasint,omitempty" json:"told,omitempty"`    // no effect: the log told of that token
 }
 
 // Bounds of a place.
@@ -163,7 +165,7 @@
 			}
 			p.last = e.Number
 			p.entries = append(p.entries, e)
-			if e.Refused == 0 && e.Effect.Type != owner.Safe {
+			if e.Refused == 0 && !e.Told && e.Effect.Type != owner.Safe {
 				p.gate.Ran(e.Effect.Job, e.Effect.Step)
 			}
 			return nil
@@ -204,7 +206,7 @@
 	select {
 	case p.inbox <- func() {
 		if p.broken == nil && p.gate.Raise(job, token) {
-			p.write(nil)
+			p.write(&Entry{Effect: Effect{Job: job, Token: token}, Told: true})
 		}
 	}:
 	default: // the next effect, or the next word of the log, raises it
@@ -239,19 +241,18 @@
 
 // write puts an entry and the tokens on the disk in one act: the effect is the entry.
 func (p *Place) write(e *Entry) error {
-	if e != nil {
-		p.last++
-		e.Number = p.last
-		p.mu.Lock()
-		if p.entries = append(p.entries, *e); len(p.entries) > mostEntries {
-			p.entries = append([]Entry(nil), p.entries[len(p.entries)-mostEntries/2:]...)
-		}
-		p.mu.Unlock()
+	p.last++
+	e.Number = p.last
+	p.mu.Lock()
+	if p.entries = append(p.entries, *e); len(p.entries) > mostEntries {
+		p.entries = append([]Entry(nil), p.entries[len(p.entries)-mostEntries/2:]...)
 	}
+	p.mu.Unlock()
 	if p.db == nil {
 		return nil
 	}
 	p.step("before")
+	failpoint.Here(failpoint.Checked)
 	err := p.db.Update(func(tx *bolt.Tx) error {
 		floor, tokens := p.gate.Kept()
 		if err := checked.Put(tx.Bucket(metaBucket), floorKey, checked.Key(floor)); err != nil {
@@ -274,18 +275,17 @@
 				return err
 			}
 		}
-		if e != nil {
-			all := tx.Bucket(entriesBucket)
-			if err := checked.Put(all, checked.Key(e.Number), canon.Encode(e)); err != nil {
+		all := tx.Bucket(entriesBucket)
+		if err := checked.Put(all, checked.Key(e.Number), canon.Encode(e)); err != nil {
+			return err
+		}
+		if e.Number > mostEntries {
+			if err := all.Delete(checked.Key(e.Number - mostEntries)); err != nil {
 				return err
 			}
-			if e.Number > mostEntries {
-				if err := all.Delete(checked.Key(e.Number - mostEntries)); err != nil {
-					return err
-				}
-			}
 		}
 		p.step("written")
+		failpoint.Here(failpoint.Written)
 		return nil
 	})
 	if err != nil {
@@ -295,6 +295,7 @@
 		return p.broken
 	}
 	p.step("synced")
+	failpoint.Here(failpoint.Synced)
 	return nil
 }
 
--- a/internal/owner/work.go
+++ b/internal/owner/work.go
@@ -100,8 +100,12 @@
 		return do
 	}
 	u.until = 0
-	for step := j.Next; step < min(j.Steps, j.Next+j.Window); step++ {
-		if _, doubt := j.Doubt[step]; doubt || !j.open(step) || u.out[step] {
+	room := j.Window
+	for step := j.Next; step < min(j.Steps, j.Next+mostSpan) && room > 0; step++ {
+		if _, doubt := j.Doubt[step]; doubt || !j.open(step) {
+			continue
+		}
+		if room--; u.out[step] {
 			continue
 		}
 		if j.Type == Unsafe && j.Meant[step] != u.token {
--- a/internal/quorum/drive/council.go
+++ b/internal/quorum/drive/council.go
@@ -17,6 +17,7 @@
 
 	"poppymill/internal/canon"
 	"poppymill/internal/checked"
+	"poppymill/internal/failpoint"
 	"poppymill/internal/quorum"
 )
 
@@ -197,7 +198,9 @@
 			at := time.Now()
 			var err error
 			if c.store != nil {
+				failpoint.Here(failpoint.Saving)
 				err = c.store.put(r)
+				failpoint.Here(failpoint.Saved)
 			}
 			if err != nil {
 				written <- quorum.Broken{Err: err}
@@ -228,6 +231,7 @@
 			}
 		case <-handing:
 			handing, leaving = nil, time.After(100*time.Millisecond)
+			failpoint.Here(failpoint.Leaving)
 			e = quorum.Leave{}
 		case <-leaving:
 			over = true
@@ -240,6 +244,7 @@
 		c.tell()
 		if handing != nil && (c.part == nil || c.part.Idle()) {
 			handing, leaving = nil, time.After(100*time.Millisecond)
+			failpoint.Here(failpoint.Leaving)
 			c.carry(c.handle(quorum.Leave{}))
 		}
 	}
@@ -292,6 +297,9 @@
 		case quorum.Save:
 			c.disk <- a.Record
 		case quorum.Agreed:
+			if !c.news {
+				failpoint.Here(failpoint.Agreed)
+			}
 			c.news = true
 		case quorum.Restored:
 			c.news, c.told.Restored = true, true
--- a/internal/rehearsal/auditor/auditor.go
+++ b/internal/rehearsal/auditor/auditor.go
@@ -23,10 +23,11 @@
 	Purges                // no answer from an older copy past the grace after word of a purge
 	Links                 // what is not under a good link is not let in, and no link is used twice for what must not run twice
 	Alive                 // no gateway ends that nobody told to
+	Work                  // at each place tokens of a job never fall, and no step happens twice that must not
 	Rules
 )
 
-var names = [Rules]string{"one answer", "no effect twice", "drains and losses", "cold boxes", "purges", "links", "gateways stay up"}
+var names = [Rules]string{"one answer", "no effect twice", "drains and losses", "cold boxes", "purges", "links", "gateways stay up", "owned work"}
 
 func (r Rule) String() string { return names[r] }
 
@@ -61,6 +62,8 @@
 	chains map[string]string          // by a link of a write: the download by which it took effect
 	shut   map[int]map[string]float64 // by gateway and box: when it was told to leave it alone
 	purged map[int]*purges
+	token  map[string]uint64 // the highest seen, by place and job
+	steps  map[string]int    // how often a step that must not run twice has happened, by job and step
 }
 
 type purges struct {
@@ -89,7 +92,7 @@
 // New makes an auditor of one rehearsal. Slack is 0 in virtual time.
 func New(s *script.Script, slack float64) *Auditor {
 	a := &Auditor{rules: s.Rules, types: map[string]script.Type{}, slack: slack, open: map[string]*download{},
-		chains: map[string]string{}, shut: map[int]map[string]float64{}, purged: map[int]*purges{}}
+		chains: map[string]string{}, shut: map[int]map[string]float64{}, purged: map[int]*purges{}, token: map[string]uint64{}, steps: map[string]int{}}
 	for _, t := range s.Types {
 		a.types[t.Name] = t
 	}
@@ -128,6 +131,8 @@
 		a.told(f)
 	case world.Pushed:
 		a.find(Cold, f.At, -1, "", f.Box, "sent %.0f ms of work while it bears %.0f", f.Sent, f.Allowed)
+	case world.Effected:
+		a.effected(f)
 	case world.Restarted:
 		// It knows nothing of before, and is told anew all that holds.
 		delete(a.shut, f.Gateway)
@@ -139,6 +144,26 @@
 	}
 }
 
+// effected judges one line of a place's record. Any step may come late, and is refused then; a safe one may happen again.
+func (a *Auditor) effected(f world.Effected) {
+	place, step := fmt.Sprint(f.Gateway, " ", f.Job), fmt.Sprint(f.Job, " ", f.Step)
+	switch {
+	case f.Newer > 0:
+		if f.Token >= f.Newer {
+			a.find(Work, f.At, f.Gateway, step, "", "refused under token %d for being older than %d", f.Token, f.Newer)
+		}
+		return
+	case f.Token < a.token[place]:
+		a.find(Work, f.At, f.Gateway, step, "", "happened under token %d of %s after token %d was seen there", f.Token, f.From, a.token[place])
+	}
+	if a.token[place] = max(a.token[place], f.Token); f.Told || f.Again || f.Type == "safe" {
+		return
+	}
+	if a.steps[step]++; a.steps[step] > 1 {
+		a.find(Work, f.At, f.Gateway, step, "", "happened %d times, and is %s", a.steps[step], f.Type)
+	}
+}
+
 func (a *Auditor) over(d *download, at float64) {
 	d.ended = at
 	a.past = append(a.past, d)
--- a/internal/rehearsal/script/fields.go
+++ b/internal/rehearsal/script/fields.go
@@ -112,6 +112,11 @@
 		op.Attr("replace", op.Span(&q.Replace, time.Second, time.Hour))}
 }
 
+func (j *Job) fields() []op.Field {
+	return []op.Field{op.Must("at", op.Span(&j.At, 0, 24*time.Hour)), op.Attr("type", op.OneOf(&j.Type, "safe", "keyed", "unsafe")),
+		op.Attr("steps", op.Whole(&j.Steps, 1, 100_000)), op.Attr("window", op.Whole(&j.Window, 1, 256)), op.Attr("places", op.Whole(&j.Places, 0, 1024))}
+}
+
 func (p *Phase) fields() []op.Field {
 	e := &p.Expect
 	return []op.Field{op.Must("for", op.Span(&p.For, 100*time.Millisecond, 24*time.Hour)), op.Must("rate", op.Number(&p.Rate, 0, 1e6)),
@@ -131,7 +136,7 @@
 		op.Attr("over", op.Span(&e.Over, 0, 24*time.Hour)), op.Attr("same_address", op.Flag(&e.SameAddress)),
 		op.Attr("delay", op.Span(&e.Delay, 0, longest)), op.Attr("groups", op.Whole(&e.Groups, 1, 256)), op.Attr("club", op.Text(&e.Club)),
 		op.Attr("kiosks", op.Whole(&e.Kiosks, 1, 10_000)), op.Attr("member", op.Text(&e.Member)),
-		op.Attr("one_way", op.Flag(&e.OneWay)), op.Attr("disk", op.OneOf(&e.Disk, "kept", "lost")),
+		op.Attr("one_way", op.Flag(&e.OneWay)), op.Attr("disk", op.OneOf(&e.Disk, "kept", "lost", "old")),
 		op.Check(e.whole)}
 }
 
--- a/internal/rehearsal/script/script.go
+++ b/internal/rehearsal/script/script.go
@@ -35,6 +35,7 @@
 	Links       Links
 	Fair        Fair
 	Quorum      Quorum
+	Jobs        []Job
 	Phases      []Phase
 	Events      []Event
 }
@@ -133,6 +134,13 @@
 	Replace               float64 // ms that a voter must be gone before another has its vote
 }
 
+// Job is work that is asked for on behalf of all gateways.
+type Job struct {
+	Name, Type            string // safe, keyed or unsafe
+	At                    float64
+	Steps, Window, Places int // the first so many gateways, in turn; 0: at the owner
+}
+
 // Phase is a stretch of time with its traffic and what is expected of it.
 type Phase struct {
 	Name      string
@@ -168,7 +176,7 @@
 	Kiosks         int
 	Member         string // of whom kiosks are
 	OneWay         bool   // what goes out of those chosen is cut, what comes in is not
-	Disk           string // of a gateway that is killed: kept, or lost
+	Disk           string // of a gateway that is killed: kept, lost, or old: as it was when it was copied
 }
 
 // What can happen, and to what.
@@ -177,11 +185,11 @@
 	deeds = map[string][]string{
 		"kill": {"edge", "hub", "core", "gateway"}, "vanish": boxes, "silent": boxes, "pause": boxes, "slow": boxes,
 		"fail": boxes, "lose": boxes, "cut": boxes, "replace": {"edge", "hub"}, "drain": {"edge", "hub"}, "restart": {"gateway"},
-		"hup": {"gateway"}, "freeze": {"gateway"}, "part": {"gateway"}, "lag": {"list"}, "purge": {"objects"}, "break": {"channel"}, "mute": {"channel"}, "repeat": {"channel"},
+		"hup": {"gateway"}, "freeze": {"gateway"}, "part": {"gateway"}, "start": {"gateway"}, "copy": {"gateway"}, "fill_disk": {"gateway"}, "lag": {"list"}, "purge": {"objects"}, "break": {"channel"}, "mute": {"channel"}, "repeat": {"channel"},
 		"traffic": {"clients"}, "storm": {"clients"}, "once": {"clients"}, "large": {"clients"},
 		"forge": {"clients"}, "rotate": {"keys"}, "withdraw": {"keys"},
 	}
-	needFor = []string{"freeze", "part", "pause", "slow", "fail", "lose", "cut", "lag", "mute", "traffic", "storm", "once", "large", "silent", "vanish", "forge"}
+	needFor = []string{"freeze", "fill_disk", "part", "pause", "slow", "fail", "lose", "cut", "lag", "mute", "traffic", "storm", "once", "large", "silent", "vanish", "forge"}
 )
 
 // Deeds lists what can happen, for people.
@@ -265,6 +273,13 @@
 			s.Phases = append(s.Phases, p)
 			return s.Phases[len(s.Phases)-1].fields(), nil
 		}),
+		operator.Block("job", []string{"name"}, func(labels []string, _ int) ([]operator.Field, error) {
+			if slices.ContainsFunc(s.Jobs, func(j Job) bool { return j.Name == labels[0] }) {
+				return nil, errors.New("stands twice")
+			}
+			s.Jobs = append(s.Jobs, Job{Name: labels[0], Type: "safe", Steps: 10, Window: 4})
+			return s.Jobs[len(s.Jobs)-1].fields(), nil // read before the next one moves them
+		}),
 		operator.Block("event", []string{"do"}, func(labels []string, line int) ([]operator.Field, error) {
 			if deeds[labels[0]] == nil {
 				return nil, fmt.Errorf("is none of %s", strings.Join(Deeds(), ", "))
@@ -297,11 +312,21 @@
 	case s.Box.Count < len(s.Clubs):
 		return fmt.Errorf("%d edge caches for %d clubs", s.Box.Count, len(s.Clubs))
 	}
+	for _, j := range s.Jobs {
+		switch {
+		case !s.Quorum.On:
+			return fmt.Errorf("job %s needs the block quorum", j.Name)
+		case j.Places > s.Gateways:
+			return fmt.Errorf("job %s: %d places among %d gateways", j.Name, j.Places, s.Gateways)
+		case j.At >= s.Length():
+			return fmt.Errorf("job %s comes at %v ms, past the end at %v ms", j.Name, j.At, s.Length())
+		}
+	}
 	for _, e := range s.Events {
 		if e.At >= s.Length() {
 			return fmt.Errorf("event %s of line %d comes at %v ms, past the end at %v ms", e.Do, e.Line, e.At, s.Length())
 		}
-		if !s.Quorum.On && (e.Do == "part" || e.Disk != "") {
+		if !s.Quorum.On && (slices.Contains([]string{"part", "copy", "fill_disk"}, e.Do) || e.Disk != "") {
 			return fmt.Errorf("event %s of line %d needs the block quorum", e.Do, e.Line)
 		}
 		if s.Links.Life == 0 && slices.Contains([]string{"forge", "rotate", "withdraw"}, e.Do) {
--- a/internal/rehearsal/sockets/gateway.go
+++ b/internal/rehearsal/sockets/gateway.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"time"
 
@@ -61,15 +62,21 @@
 	return os.Rename(p.file()+".new", p.file())
 }
 
+// fated tells whether it is to kill itself at a failpoint: it was told to end then.
+func (p *process) fated() bool {
+	return p.stage.Operator != nil && strings.Contains(p.stage.Operator(p.number), "kill")
+}
+
 func (p *process) reload() error {
-	err := p.write()
+	err := errors.Join(p.write(), p.stage.write(p.number))
+	p.told = p.told || p.fated()
 	p.signal(syscall.SIGHUP)
 	return err
 }
 
 func (p *process) start() error {
 	s := p.stage
-	if err := p.write(); err != nil || s.Binary == "" {
+	if err := errors.Join(p.write(), s.write(p.number)); err != nil || s.Binary == "" {
 		return err
 	}
 	p.open = map[string]func(){}
@@ -91,7 +98,7 @@
 		return err
 	}
 	gone, exited := context.WithCancel(s.ctx)
-	p.cmd, p.told, p.ready, p.gone = cmd, false, false, gone
+	p.cmd, p.told, p.ready, p.gone = cmd, p.fated(), false, gone
 	s.spawn(func() {
 		cmd.Wait()
 		exited()
--- /dev/null
+++ b/internal/rehearsal/sockets/owner_test.go
@@ -0,0 +1,294 @@
+package sockets
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"poppymill/internal/canon"
+	"poppymill/internal/failpoint"
+	"poppymill/internal/owner"
+	owned "poppymill/internal/owner/drive"
+	"poppymill/internal/owner/place"
+	"poppymill/internal/quorum"
+	"poppymill/internal/quorum/drive"
+	"poppymill/internal/rehearsal/script"
+	"poppymill/internal/rehearsal/world"
+)
+
+// order has a command of people's agreed, by any gateway but those named.
+func (c *council) order(kind string, content any, but ...int) {
+	c.t.Helper()
+	command := &quorum.Command{Book: owned.Book, Kind: kind, Data: canon.Encode(content)}
+	for end, i := time.Now().Add(20*time.Second), 0; time.Now().Before(end); i++ {
+		if n := i % len(c.names); !slices.Contains(but, n) {
+			if r, err := c.stage.Put(n, drive.Question{Command: command}, 2*time.Second); err == nil && r.Error == "" {
+				return
+			}
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	c.t.Fatalf("not agreed: %s %+v", kind, content)
+}
+
+// start asks for a drill whose steps happen at so many gateways, the last ones.
+func (c *council) start(name string, typ owner.Type, steps, window, places int) {
+	c.t.Helper()
+	c.order(owner.Start, owner.Job{Name: name, Kind: owned.Drill, Type: typ, Steps: steps, Window: window, Places: c.names[len(c.names)-places:]})
+}
+
+// job is how the gateway that has followed furthest knows a job.
+func (c *council) job(name string) (best owner.Report) {
+	applied := uint64(0)
+	for i := range c.names {
+		var j owner.Report
+		r, err := c.stage.Put(i, drive.Question{About: "job", Name: name}, 300*time.Millisecond)
+		if err == nil && r.Error == "" && r.Report.Applied > applied && json.Unmarshal(r.Body, &j) == nil {
+			best, applied = j, r.Report.Applied
+		}
+	}
+	return best
+}
+
+func (c *council) untilJob(name, what string, holds func(owner.Report) bool) owner.Report {
+	c.t.Helper()
+	var last owner.Report
+	for end := time.Now().Add(25 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if last = c.job(name); last.Name != "" && holds(last) {
+			return last
+		}
+	}
+	c.t.Fatalf("not seen of job %s: %s; last: %+v", name, what, last)
+	return last
+}
+
+func (c *council) number(name string) int { return slices.Index(c.names, name) }
+
+// arm has a gateway stop or kill itself at the n-th pass of a place from now on, and waits until it has.
+func (c *council) arm(gateway int, how, where string, n int) {
+	c.t.Helper()
+	c.mu.Lock()
+	c.fate[gateway] = fmt.Sprintf("failpoints {\n  %s = [%q]\n}\n", how, fmt.Sprintf("%s:%d", where, n))
+	c.mu.Unlock()
+	c.happen(script.Event{Do: "hup", Name: c.names[gateway]})
+	for end := time.Now().Add(20 * time.Second); !c.stage.Stopped(gateway) && !c.stage.Gone(gateway); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			c.t.Fatalf("%s does not pass %s", c.names[gateway], where)
+		}
+	}
+	c.mu.Lock()
+	delete(c.fate, gateway)
+	c.mu.Unlock()
+}
+
+// finish waits for a job's end, with each doubt settled by the records of the places, as an operator would, and judges them. A step
+// that its place has not on record, while it has word of a newer token, did not run and never will.
+func (c *council) finish(name string) [][]place.Entry {
+	c.t.Helper()
+	asked := 0
+	c.untilJob(name, "finished", func(j owner.Report) bool {
+		for _, d := range j.Doubt {
+			if i := c.number(d.Place); i >= 0 {
+				if ran, fenced := owned.OnRecord(c.stage.Records(300 * time.Millisecond)[i], name, d); ran || fenced {
+					c.order(owner.Verdict, owner.Claim{Job: name, Step: d.Step, Ran: ran})
+				} else if asked++; asked%10 == 1 {
+					c.order(owner.Fence, owner.Claim{Job: name})
+				}
+			}
+		}
+		return j.State == "finished"
+	})
+	all := c.stage.Records(2 * time.Second)
+	for i, entries := range all {
+		for _, e := range entries {
+			if e.Effect.Job != name {
+				continue
+			}
+			c.audit.See(world.Effected{Gateway: i, Step: e.Effect.Step, Job: e.Effect.Job, From: e.Effect.From, Type: e.Effect.Type.String(),
+				Token: e.Effect.Token, Newer: e.Refused, Again: e.Again, Told: e.Told})
+		}
+	}
+	return all
+}
+
+// happened counts how often each step of a job did, by the records.
+func happened(all [][]place.Entry, job string) map[int]int {
+	n := map[int]int{}
+	for _, entries := range all {
+		for _, e := range entries {
+			if e.Effect.Job == job && e.Refused == 0 && !e.Told && !e.Again {
+				n[e.Effect.Step]++
+			}
+		}
+	}
+	return n
+}
+
+// done checks that all steps of a job are on record, once where they must not happen twice.
+func (c *council) done(all [][]place.Entry, job string, steps int, once bool) {
+	c.t.Helper()
+	n := happened(all, job)
+	for step := range steps {
+		if n[step] == 0 || once && n[step] > 1 {
+			c.t.Errorf("step %d of %s happened %d times", step, job, n[step])
+		}
+	}
+}
+
+// The hard case, between real processes: the owner stops itself exactly between its check that it owns and the effect, or between
+// the effect and its word of it, for longer than its lease. A successor goes on; the old owner wakes with what it had in hand.
+// What it sends then is refused by name where it would count; nothing happens twice; all is done.
+func TestOwnerFrozen(t *testing.T) {
+	for _, x := range []struct {
+		where string
+		typ   owner.Type
+		late  bool // its effect must be refused when it wakes
+	}{{failpoint.Sending, owner.Unsafe, true}, {failpoint.Sending, owner.Safe, true}, {failpoint.Happened, owner.Keyed, false}} {
+		t.Run(fmt.Sprint(x.where, " ", x.typ), func(t *testing.T) {
+			agree(t, nil, func(c *council) {
+				c.until("all level", c.level)
+				const old = 0 // of all that have nothing to do the first by name
+				go c.start("work", x.typ, 30, 3, 3)
+				c.arm(old, "stop", x.where, 4)
+				first := c.untilJob("work", "granted", func(j owner.Report) bool { return j.Owner == c.names[old] })
+				c.happen(script.Event{Do: "freeze", Name: c.names[old], For: 4000})
+				next := c.untilJob("work", "another owns", func(j owner.Report) bool { return j.Token > first.Token })
+				if next.Owner == first.Owner && next.Incarnation == first.Incarnation {
+					t.Errorf("the frozen owner %s was granted the job again", next.Owner)
+				}
+				if next = c.untilJob("work", "its successor is done, or waits for word of what may have run", func(j owner.Report) bool {
+					return j.State == "finished" || len(j.Doubt) > 0 && j.Done > first.Done
+				}); x.typ != owner.Unsafe && len(next.Doubt) > 0 {
+					t.Errorf("steps that may run again are in doubt: %v", next.Doubt)
+				}
+				c.until("the old owner is there again", c.level)
+				all := c.finish("work")
+				c.done(all, "work", 30, x.typ != owner.Safe)
+				refused := 0
+				for _, entries := range all {
+					for _, e := range entries {
+						if e.Refused > 0 && e.Effect.From == first.Owner && e.Effect.Token == first.Token {
+							refused++
+						}
+					}
+				}
+				if x.late && refused == 0 {
+					t.Error("nothing of what the old owner sent late was refused")
+				}
+			})
+		})
+	}
+}
+
+// cut cuts or mends the ways between two gateways, both or one.
+func (c *council) cut(from, to int, both, cut bool) {
+	r, by := c.stage.relays, 1
+	if !cut {
+		by = -1
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.cut[[2]int{from, to}] += by; both {
+		r.cut[[2]int{to, from}] += by
+	}
+	close(r.mended)
+	r.mended = make(chan bool)
+}
+
+// The owner is cut off from all but one place, which all others reach as well: a bridge that sees both sides. The log says that
+// the owner is lost and another owns; at the bridge the old one's effects are refused from then on, while it still believes to own.
+func TestOwnerCutOffFromAllButOnePlace(t *testing.T) {
+	agree(t, func(s *script.Script) { s.Gateways = 6 }, func(c *council) {
+		c.until("all level", c.level)
+		bridge := len(c.names) - 1
+		c.order(owner.Start, owner.Job{Name: "work", Kind: owned.Drill, Type: owner.Unsafe, Steps: 400, Window: 2, Places: c.names[bridge:]})
+		first := c.untilJob("work", "begun", func(j owner.Report) bool { return j.Done > 3 && j.Owner != "" })
+		old := c.number(first.Owner)
+		if old == bridge {
+			t.Fatal("the place owns its own work")
+		}
+		for i := range c.names {
+			if i != old && i != bridge {
+				c.cut(old, i, true, true)
+			}
+		}
+		next := c.untilJob("work", "another owns", func(j owner.Report) bool { return j.Token > first.Token && j.Owner != "" })
+		if next.Owner == first.Owner {
+			t.Errorf("the one that is cut off owns again")
+		}
+		for i := range c.names {
+			if i != old && i != bridge {
+				c.cut(old, i, true, false)
+			}
+		}
+		c.until("all level once the ways are mended", c.level)
+		c.done(c.finish("work"), "work", 400, true)
+	})
+}
+
+// The leader is killed at each step of agreeing and granting, a place at each step of an effect; what comes back goes on with its
+// disk. Nothing happens twice, and all is done.
+func TestKilledAtEachStep(t *testing.T) {
+	agree(t, nil, func(c *council) {
+		c.until("all level", c.level)
+		for i, where := range []string{failpoint.Saving, failpoint.Saved, failpoint.Agreed, failpoint.Granting, failpoint.Checked, failpoint.Written, failpoint.Synced} {
+			name := fmt.Sprint("work-", i)
+			var victim int
+			switch where {
+			case failpoint.Checked, failpoint.Written, failpoint.Synced:
+				victim = len(c.names) - 1
+			default:
+				victim = leader(c.until("a leader", func(all []*quorum.Report) bool { return leader(all) >= 0 }))
+			}
+			killed := make(chan bool)
+			go func() {
+				defer close(killed)
+				c.arm(victim, "kill", where, 1)
+			}()
+			c.start(name, owner.Unsafe, 12, 3, 2)
+			<-killed
+			c.happen(script.Event{Do: "start", Name: c.names[victim]})
+			c.until("all level after "+where, c.level)
+			c.done(c.finish(name), name, 12, true)
+		}
+	})
+}
+
+// Work goes on over a rolling restart of all, over a majority that is killed at once and comes back with its disks, and over an owner
+// that is killed twice in a row under one name.
+func TestWorkGoesOn(t *testing.T) {
+	agree(t, nil, func(c *council) {
+		before := c.until("all level", c.level)
+		c.start("rolling", owner.Unsafe, 300, 2, 5)
+		for i := range c.names {
+			c.happen(script.Event{Do: "restart", Name: c.names[i], For: 100})
+			c.until("level after a restart", func(all []*quorum.Report) bool {
+				return c.level(all) && all[i].Incarnation > before[i].Incarnation
+			})
+		}
+		c.done(c.finish("rolling"), "rolling", 300, true)
+		c.start("killed", owner.Unsafe, 300, 2, 5)
+		c.untilJob("killed", "begun", func(j owner.Report) bool { return j.Done > 10 })
+		l := leader(c.until("a leader", func(all []*quorum.Report) bool { return leader(all) >= 0 }))
+		for i := range 3 {
+			if i != (l+1)%3 {
+				c.happen(script.Event{Do: "kill", Name: c.names[i], For: 1500})
+			}
+		}
+		c.until("nobody leads", func(all []*quorum.Report) bool { return leader(all) < 0 })
+		c.until("all level once the majority is back", c.level)
+		c.done(c.finish("killed"), "killed", 300, true)
+		c.start("twice", owner.Keyed, 300, 2, 5)
+		for range 2 {
+			j := c.untilJob("twice", "owned", func(j owner.Report) bool { return j.Owner != "" || j.State == "finished" })
+			if j.Owner == "" {
+				break
+			}
+			c.happen(script.Event{Do: "kill", Name: j.Owner, For: 150})
+			c.until("level after a kill", c.level)
+		}
+		c.done(c.finish("twice"), "twice", 300, true)
+	})
+}
--- a/internal/rehearsal/sockets/quorum_test.go
+++ b/internal/rehearsal/sockets/quorum_test.go
@@ -4,6 +4,9 @@
 	"context"
 	"errors"
 	"fmt"
+	"os"
+	"path/filepath"
+	"sync"
 	"testing"
 	"time"
 
@@ -43,6 +46,9 @@
 	t     *testing.T
 	stage *Stage
 	names []string
+	audit *auditor.Auditor
+	mu    sync.Mutex
+	fate  map[int]string // failpoints, by gateway
 }
 
 // agree plays faults against gateways that agree, as real processes; whatever they do, no download is lost for it.
@@ -56,15 +62,20 @@
 		change(s)
 	}
 	audit := auditor.New(s, Slack)
-	stage, err := New(s, Options{Binary: binary, Logs: t.TempDir(), Facts: audit.See})
+	c := &council{t: t, audit: audit, fate: map[int]string{}}
+	stage, err := New(s, Options{Binary: armed, Logs: logsOf(t), Facts: audit.See, Operator: func(gateway int) string {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return c.fate[gateway]
+	}})
 	if err != nil {
 		t.Fatal(err)
 	}
+	c.stage = stage
 	ctx, cancel := context.WithCancelCause(context.Background())
 	enough := errors.New("enough was seen")
 	ended := make(chan error, 1)
 	go func() { ended <- stage.Run(ctx) }()
-	c := &council{t: t, stage: stage}
 	for i := range s.Gateways {
 		stage.Do(func(w *world.World) { name, _, _ := w.Config(i); c.names = append(c.names, name) })
 	}
@@ -217,3 +228,14 @@
 		})
 	})
 }
+
+// logsOf is where gateways leave their logs: in the folder that POPPYMILL_TEST_LOGS names, to look at, else with the test.
+func logsOf(t *testing.T) string {
+	if dir := os.Getenv("POPPYMILL_TEST_LOGS"); dir != "" {
+		dir = filepath.Join(dir, t.Name())
+		if os.MkdirAll(dir, 0o755) == nil {
+			return dir
+		}
+	}
+	return t.TempDir()
+}
--- a/internal/rehearsal/sockets/relay.go
+++ b/internal/rehearsal/sockets/relay.go
@@ -74,7 +74,7 @@
 	if n < q.Voters {
 		text += "  founders = [" + strings.Join(founders, ", ") + "]\n"
 	}
-	return text + "}\n"
+	return text + "}\njobs {\n  effect = \"1s\"\n  again = \"500ms\"\n  hold = \"500ms\"\n}\n"
 }
 
 func (r *relays) accept(l *net.TCPListener, from, to int) {
--- a/internal/rehearsal/sockets/sockets_test.go
+++ b/internal/rehearsal/sockets/sockets_test.go
@@ -103,14 +103,19 @@
 }
 `
 
-var binary string
+// binary is the program as it is built, armed a debug build of it, which has failpoints.
+var binary, armed string
 
 func TestMain(m *testing.M) {
 	dir, err := os.MkdirTemp("", "poppymill")
 	if err == nil {
 		binary = filepath.Join(dir, "poppymill")
 		var out []byte
-		if out, err = exec.Command("go", "build", "-o", binary, "poppymill/cmd/poppymill").CombinedOutput(); err != nil {
+		armed = binary + "-debug"
+		if out, err = exec.Command("go", "build", "-o", binary, "poppymill/cmd/poppymill").CombinedOutput(); err == nil {
+			out, err = exec.Command("go", "build", "-tags", "debug", "-o", armed, "poppymill/cmd/poppymill").CombinedOutput()
+		}
+		if err != nil {
 			err = errors.New(string(out))
 		}
 	}
--- a/internal/rehearsal/sockets/stage.go
+++ b/internal/rehearsal/sockets/stage.go
@@ -23,8 +23,6 @@
 	"poppymill/internal/clients"
 	"poppymill/internal/links"
 	"poppymill/internal/links/keyfile"
-	"poppymill/internal/quorum"
-	"poppymill/internal/quorum/drive"
 	"poppymill/internal/rehearsal/script"
 	"poppymill/internal/rehearsal/world"
 )
@@ -46,6 +44,7 @@
 	Addresses func(name string) string // real addresses to listen at, by box and for "channel"; nil: the system's choice
 	Facts     func(world.Fact)
 	Progress  func(at, length float64)
+	Operator  func(gateway int) string // more for a gateway's operator's file at its next start or reload, as failpoints; nil: nothing
 }
 
 // Stage is one rehearsal on sockets.
@@ -194,6 +193,9 @@
 			shown = now
 			s.Progress(now, s.script.Length())
 		}
+		if s.world.Over() {
+			s.records()
+		}
 		if s.world.Over() || now > s.script.Length()+2*s.script.Longest()+10_000 {
 			s.stop(errOver)
 			break
@@ -257,11 +259,19 @@
 			}
 		case world.Kill:
 			s.gateways[a.Gateway].kill()
-			if a.DiskLost {
-				if err := os.RemoveAll(s.gateways[a.Gateway].store()); err != nil {
-					s.stop(err)
-				}
+			if err := s.gateways[a.Gateway].disk(a.Disk); err != nil {
+				s.stop(err)
+			}
+		case world.Copy:
+			if err := s.gateways[a.Gateway].copy(); err != nil {
+				s.stop(err)
 			}
+		case world.Fill:
+			if err := s.gateways[a.Gateway].fill(a.Undo); err != nil {
+				s.stop(err)
+			}
+		case world.Work:
+			s.spawn(func() { s.work(a.Job) })
 		case world.Freeze:
 			s.gateways[a.Gateway].freeze(!a.Thaw)
 		case world.Part:
@@ -310,39 +320,47 @@
 
 // operators writes what the operator of each gateway says, where the script turns something on.
 func (s *Stage) operators() error {
-	l, f := s.world.LinkSettings(), s.script.Fair
 	for i := range s.script.Gateways {
-		name, _, _ := s.world.Config(i)
-		text := ""
-		if l.Base != "" {
-			text = fmt.Sprintf("links {\n  keys = %q\n  base = %q\n  audience = [%q, %q]\n  checks = %v\n  all_checks = %v\n  renew_within = \"%.0fms\"\n",
-				s.dir+"/keys.hcl", l.Base, l.Audience[0], name, l.Checks, l.AllChecks, l.RenewIn)
-			if l.Boxes > 0 {
-				text += fmt.Sprintf("  boxes = \"%.0fms\"\n", l.Boxes)
-			}
-			text += "}\n"
+		if err := s.write(i); err != nil {
+			return err
 		}
-		if f.On {
-			var ahead []string
-			for _, t := range s.script.Types {
-				if t.Write {
-					ahead = append(ahead, fmt.Sprintf("%q", t.Name))
-				}
-			}
-			text += fmt.Sprintf("fair {\n  club = \"header X-Club\"\n  client = \"header X-Client\"\n  longest_wait = \"%.0fms\"\n", f.Longest)
-			if len(ahead) > 0 {
-				text += "  ahead = [" + strings.Join(ahead, ", ") + "]\n"
-			}
-			text += "}\n"
+	}
+	return nil
+}
+
+// write writes what the operator of a gateway says from now on.
+func (s *Stage) write(i int) error {
+	l, f := s.world.LinkSettings(), s.script.Fair
+	name, _, _ := s.world.Config(i)
+	text := ""
+	if l.Base != "" {
+		text = fmt.Sprintf("links {\n  keys = %q\n  base = %q\n  audience = [%q, %q]\n  checks = %v\n  all_checks = %v\n  renew_within = \"%.0fms\"\n",
+			s.dir+"/keys.hcl", l.Base, l.Audience[0], name, l.Checks, l.AllChecks, l.RenewIn)
+		if l.Boxes > 0 {
+			text += fmt.Sprintf("  boxes = \"%.0fms\"\n", l.Boxes)
 		}
-		if q := s.script.Quorum; q.On {
-			text += s.relays.block(i, q, func(n int) string { name, _, _ := s.world.Config(n); return name })
+		text += "}\n"
+	}
+	if f.On {
+		var ahead []string
+		for _, t := range s.script.Types {
+			if t.Write {
+				ahead = append(ahead, fmt.Sprintf("%q", t.Name))
+			}
 		}
-		if err := os.WriteFile(s.operator(i), []byte(text), 0o600); err != nil {
-			return err
+		text += fmt.Sprintf("fair {\n  club = \"header X-Club\"\n  client = \"header X-Client\"\n  longest_wait = \"%.0fms\"\n", f.Longest)
+		if len(ahead) > 0 {
+			text += "  ahead = [" + strings.Join(ahead, ", ") + "]\n"
 		}
+		text += "}\n"
 	}
-	return nil
+	if q := s.script.Quorum; q.On {
+		text += s.relays.block(i, q, func(n int) string { name, _, _ := s.world.Config(n); return name })
+	}
+	if s.Operator != nil {
+		text += s.Operator(i)
+	}
+	return os.WriteFile(s.operator(i), []byte(text), 0o600)
 }
 
 // keys puts the file of keys in its place for all gateways.
@@ -397,23 +415,6 @@
 	return all
 }
 
-// Reports are what the gateways say of what they agree on, asked past the relays; nil for one that does not answer.
-func (s *Stage) Reports(within time.Duration) []*quorum.Report {
-	all := make([]*quorum.Report, len(s.relays.listen))
-	var g sync.WaitGroup
-	for i, address := range s.relays.listen {
-		g.Go(func() {
-			ctx, cancel := context.WithTimeout(s.ctx, within)
-			defer cancel()
-			if r, err := drive.Ask(ctx, address); err == nil {
-				all[i] = &r
-			}
-		})
-	}
-	g.Wait()
-	return all
-}
-
 // Channel is the address of the command channel as one gateway is told it.
 func (s *Stage) Channel(gateway int) string { return s.gateways[gateway].channel.address() }
 
--- a/internal/rehearsal/world/door.go
+++ b/internal/rehearsal/world/door.go
@@ -6,7 +6,10 @@
 // one core at speed 1. Gateways are known by number, boxes by id, connections by a number of the driver's.
 package world
 
-import "poppymill/internal/links"
+import (
+	"poppymill/internal/links"
+	"poppymill/internal/rehearsal/script"
+)
 
 // Events, which a driver hands to World.Handle.
 type (
@@ -99,9 +102,17 @@
 	// told to read its configuration again.
 	Start struct{ Gateway int }
 	Kill  struct {
-		Gateway  int
-		DiskLost bool // what it kept of the agreement is lost with it
+		Gateway int
+		Disk    string // what it kept of the agreement: lost with it, or old, as it was when it was copied; empty: kept
+	}
+	// Copy keeps its store as it is now; Fill has its disk take no more, or again.
+	Copy struct{ Gateway int }
+	Fill struct {
+		Gateway int
+		Undo    bool
 	}
+	// Work asks the gateways for a job on behalf of all.
+	Work struct{ Job script.Job }
 	Term struct{ Gateway int }
 	Hup  struct{ Gateway int }
 )
@@ -238,6 +249,15 @@
 		At      float64
 		Gateway int
 	}
+	// Effected is one line of the record of a place at which work on behalf of the fleet happens, in the order of that place.
+	Effected struct {
+		At            float64
+		Gateway, Step int
+		Job, From     string
+		Type          string
+		Token, Newer  uint64 // Newer: it was refused, as that token was seen
+		Again, Told   bool   // it had happened before; no effect, but word of a token
+	}
 	// Down: a gateway is gone. Crashed: nobody had told it to.
 	Down struct {
 		At      float64
--- a/internal/rehearsal/world/happen.go
+++ b/internal/rehearsal/world/happen.go
@@ -161,6 +161,9 @@
 	}
 	for n, g := range chosen {
 		w.after(float64(n)*e.Over/float64(len(chosen)), func() {
+			if e.Do == "start" && !g.up {
+				w.start(g)
+			}
 			if !g.up {
 				return
 			}
@@ -169,9 +172,14 @@
 			case "hup":
 				w.act(Hup{Gateway: g.number})
 			case "kill":
-				w.act(Kill{Gateway: g.number, DiskLost: e.Disk == "lost"})
+				w.act(Kill{Gateway: g.number, Disk: e.Disk})
 				w.exited(g, false)
 				w.after(back, func() { w.start(g) })
+			case "copy":
+				w.act(Copy{Gateway: g.number})
+			case "fill_disk":
+				w.act(Fill{Gateway: g.number})
+				w.after(e.For, func() { w.act(Fill{Gateway: g.number, Undo: true}) })
 			case "freeze":
 				w.act(Freeze{Gateway: g.number})
 				w.exited(g, false)
--- a/internal/rehearsal/world/world.go
+++ b/internal/rehearsal/world/world.go
@@ -91,6 +91,9 @@
 		w.rekey(w.newKey(links.Signing), w.newKey(links.Upcoming))
 	}
 	w.clients()
+	for _, j := range s.Jobs {
+		w.at(j.At, func() { w.act(Work{Job: j}) })
+	}
 	for _, e := range s.Events {
 		for i := range e.Times {
 			w.at(e.At+float64(i)*e.Every, func() { w.happens(&e, i) })
