Owned work checked: every interleaving of small cases, linearizable reads and leases, an order of faults on processes

Need: rules of one owner at a time have to be shown beyond hand-made cases. On processes: faults in an order by seed with jobs of each type.

--- a/internal/bite/main.go
+++ b/internal/bite/main.go
@@ -20,6 +20,8 @@
 	agreement = "./internal/quorum"
 	disk      = "./internal/quorum/drive"
 	owned     = "./internal/owner"
+	places    = "./internal/owner/place"
+	crew      = "./internal/owner/drive"
 )
 
 var faults = []fault{
@@ -51,6 +53,13 @@
 	{"a term that nobody has is taken for a proof", "internal/quorum/prove.go", "case raftpb.MessageType_MsgPreVote, raftpb.MessageType_MsgPreVoteResp:", "case raftpb.MessageType_MsgHup:", agreement, "TestFaults|TestMassRestart"},
 	{"incarnations don't leap in a fleet made of a rest", "internal/quorum/recover.go", "n.members.Last += leap", "n.members.Last += 0", agreement, "TestRecover"},
 	{"an old voter does not join the fleet made of a rest", "internal/quorum/peers.go", "case slices.Contains(n.founded.Was, f.Cluster):", "case false:", agreement, "TestRecover"},
+	{"what was asked for is answered before it is agreed", "internal/quorum/peers.go", "\tn.open = append(n.open, q)\n", "\tn.open = append(n.open, q)\n\tif b := n.books[p.Command.Book]; b != nil && p.Command.Kind == \"read\" {\n\t\tn.do(Outcome{Token: p.Token, Index: n.applied, Result: b.Apply(n.applied, p.Command)})\n\t}\n", agreement, "TestLinearizable"},
+	{"a job that was fenced keeps its grant", "internal/owner/book.go", "\t\tj.part(index, \"fenced\")\n", "", owned, "TestFence"},
+	{"a place takes effects before it has followed the log", "internal/owner/drive/crew.go", "case c.stand.Incarnation == 0:", "case false:", crew, "TestCrew"},
+	{"the log's grants are not told to the place", "internal/owner/agent.go", "do = append(do, Raise{j.Name, j.Token})", "", owned, "TestAgent"},
+	{"an effect that was lost is waited for without an end", "internal/owner/agent.go", "if now >= x.By {", "if false {", owned, "TestAgent"},
+	{"an owner that leaves is granted more", "internal/owner/book.go", "case !w.There || w.Idle || w.Incarnation != c.Incarnation:", "case !w.There || w.Incarnation != c.Incarnation:", owned, "TestAgent"},
+	{"the effect is told and not on the disk", "internal/owner/place/place.go", "\terr := p.db.Update(func", "\tgo p.db.Update(func(*bolt.Tx) error { return nil })\n\terr := func(f func(*bolt.Tx) error) error { return nil }(func", places, "TestPlace|TestKilled"},
 	{"token check left out at the place", "internal/owner/gate.go", "token < newer {", "token < newer && false {", owned, "TestOldOwnerWakesLate"},
 	{"a floor is not kept for what is forgotten", "internal/owner/gate.go", "g.floor = max(g.floor, g.seen[old].token)", "", owned, "TestRefusals"},
 	{"meant not agreed first", "internal/owner/work.go", "if j.Type == Unsafe && j.Meant[step] != u.token {", "if false {", owned, "TestOldOwnerWakesLate"},
--- a/internal/owner/agent.go
+++ b/internal/owner/agent.go
@@ -169,7 +169,10 @@
 		a.asked[c.Job] = now
 		do = append(do, Ask{Grant, c})
 	}
-	maps.DeleteFunc(a.asked, func(job string, at float64) bool { return now >= at+a.set.Again })
+	maps.DeleteFunc(a.asked, func(job string, at float64) bool {
+		j := a.Book.Jobs[job]
+		return now >= at+a.set.Again || j == nil || j.Owner != ""
+	})
 	return do
 }
 
--- /dev/null
+++ b/internal/owner/drive/crew_test.go
@@ -0,0 +1,84 @@
+package drive
+
+import (
+	"io"
+	"strings"
+	"testing"
+
+	"github.com/sirupsen/logrus"
+
+	"poppymill/internal/canon"
+	"poppymill/internal/operator"
+	"poppymill/internal/owner"
+	"poppymill/internal/owner/place"
+	"poppymill/internal/quorum"
+	agreement "poppymill/internal/quorum/drive"
+)
+
+// A place takes nothing before it has followed the log to its own start, and nothing of an unknown kind; what people may ask for is
+// checked by field.
+func TestCrew(t *testing.T) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	var b Block
+	if err := operator.Parse([]byte("jobs {}\n"), "f", operator.One("jobs", b.Fields)); err != nil {
+		t.Fatal(err)
+	}
+	c, err := Open(b, t.TempDir(), map[string]Hand{"warm": {Type: owner.Safe, Check: func(owner.Job) error { return nil }}}, log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	send := func(e place.Effect) place.Effected {
+		t.Helper()
+		back := make(chan place.Effected, 1)
+		c.Handle(0, agreement.Asked{From: "g", Frame: quorum.Frame{Kind: quorum.Effect, Data: canon.Encode(e)}, Answer: func(f quorum.Frame) {
+			var r place.Effected
+			if err := canon.Decode(f.Data, &r); err != nil {
+				t.Error(err)
+			}
+			back <- r
+		}})
+		return <-back
+	}
+	e := place.Effect{Job: "j", Kind: Drill, Token: 3, Type: owner.Unsafe}
+	if r := send(e); r.End != owner.NeverRan || !strings.Contains(r.Why, "has not followed") {
+		t.Errorf("before it has followed: %+v", r)
+	}
+	c.Handle(0, agreement.Followed{Name: "h", Incarnation: 2})
+	if r := send(e); r.End != owner.Ran {
+		t.Errorf("%+v", r)
+	}
+	if r := send(place.Effect{Job: "j", Kind: Drill, Token: 2, Step: 1, Type: owner.Safe}); r.End != owner.Refused || r.Newer != 3 {
+		t.Errorf("an older one: %+v", r)
+	}
+	if r := send(place.Effect{Job: "j", Kind: "odd", Token: 4}); r.End != owner.NeverRan {
+		t.Errorf("of an unknown kind: %+v", r)
+	}
+	for _, x := range []struct {
+		kind string
+		data any
+		want string
+	}{
+		{owner.Grant, owner.Claim{Job: "j"}, "grant: not for people"}, {owner.Start, owner.Job{Kind: "odd"}, `kind: "odd" is none of [warm drill]`},
+		{owner.Start, owner.Job{Kind: "warm", Type: owner.Unsafe}, "type: steps of warm are safe"}, {owner.Start, owner.Job{Kind: Drill, Places: []string{"z"}}, `places: 0: no gateway "z"`},
+		{owner.Start, owner.Job{Kind: Drill}, ""}, {owner.Stop, owner.Claim{}, ""},
+	} {
+		err := c.Allow(quorum.Command{Book: Book, Kind: x.kind, Data: canon.Encode(x.data)})
+		if got := ""; err != nil {
+			if got = err.Error(); x.want == "" || !strings.Contains(got, x.want) {
+				t.Errorf("%s %+v: %s, want %s", x.kind, x.data, got, x.want)
+			}
+		} else if x.want != "" {
+			t.Errorf("%s %+v is allowed", x.kind, x.data)
+		}
+	}
+	if _, err := c.Tell("job", "none"); err == nil {
+		t.Error("an unknown job is told of")
+	}
+	if err := c.Close(); err != nil {
+		t.Error(err)
+	}
+	if err := operator.Parse([]byte("jobs {\n  rest = \"10s\"\n}\n"), "f", operator.One("jobs", b.Fields)); err == nil || !strings.Contains(err.Error(), "longest_rest: shorter than rest") {
+		t.Error(err)
+	}
+}
--- a/internal/quorum/sim_test.go
+++ b/internal/quorum/sim_test.go
@@ -33,6 +33,7 @@
 	bytes  int
 	agreed map[uint64]string // what stands at each place, the same for all
 	wrong  []string
+	ended  func(uint64, Outcome)
 	copies bool // old copies of stores are put back: gateways may say so
 }
 
@@ -206,7 +207,7 @@
 		g.life++
 		g.book = &ledger{}
 		var err error
-		g.node, err = New(g.set, g.disk.store(), map[string]Book{"ledger": g.book}, uint64(s.chance.Next())<<8|uint64(g.life), s.now)
+		g.node, err = New(g.set, g.disk.store(), map[string]Book{"ledger": g.book, "cell": &cell{}}, uint64(s.chance.Next())<<8|uint64(g.life), s.now)
 		if err != nil {
 			s.t.Fatal(err)
 		}
@@ -288,6 +289,9 @@
 			s.agreed[a.Index] = text
 		case Outcome:
 			g.outcome[a.Token] = a
+			if s.ended != nil {
+				s.ended(a.Token, a)
+			}
 		case Say:
 			g.said = append(g.said, fmt.Sprintf("%.0f %s %v", s.now, a.Text, a.Fields))
 		}
--- a/internal/rehearsal/sockets/owner_test.go
+++ b/internal/rehearsal/sockets/owner_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"poppymill/internal/canon"
+	"poppymill/internal/chance"
 	"poppymill/internal/failpoint"
 	"poppymill/internal/owner"
 	owned "poppymill/internal/owner/drive"
@@ -317,3 +318,64 @@
 		c.done(c.finish("twice"), "twice", 300, true)
 	})
 }
+
+// Faults in an order by seed, one after another and some at once, while jobs of each type go on: 6 of them here, as many as
+// POPPYMILL_TEST_FAULTS says for a long play. Whatever happened, all jobs end, and nothing ran twice that must not.
+func TestFaultsInOrder(t *testing.T) {
+	faults, seed := 6, chance.Chance(77)
+	fmt.Sscan(os.Getenv("POPPYMILL_TEST_FAULTS"), &faults)
+	agree(t, func(s *script.Script) {
+		s.Types[0].Expiry, s.Quorum.Replace = 1000, 4000
+		s.Phases[0].For = float64(faults)*20_000 + 60_000
+	}, func(c *council) {
+		c.until("all level", c.level)
+		types := []owner.Type{owner.Safe, owner.Keyed, owner.Unsafe}
+		for n := range faults {
+			name := fmt.Sprint("work-", n)
+			c.start(name, types[n%3], 150, 3, 4)
+			done, lost := fmt.Sprintf("%d:", n), -1
+			for range 1 + int(2*seed.Below()) {
+				x := int(seed.Below() * 5)
+				e := script.Event{Name: c.names[x], For: 300 + 2500*seed.Below()}
+				switch k := int(seed.Below() * 7); k {
+				case 0:
+					e.Do = "kill"
+				case 1:
+					e.Do = "freeze"
+				case 2:
+					e.Do = "part"
+				case 3:
+					e.Do, e.OneWay = "part", true
+				case 4:
+					e.Do, e.For = "restart", 100
+				case 5:
+					e.Do, e.Disk = "kill", "lost"
+				case 6:
+					c.happen(script.Event{Do: "copy", Name: e.Name})
+					e.Do, e.Disk = "kill", "old"
+				}
+				done += fmt.Sprintf(" %s %s %s %.0f ms", e.Do, e.Name, e.Disk, e.For)
+				if c.happen(e); e.Disk != "" { // what is lost with a disk has to be made up for before another is
+					lost = x
+					break
+				}
+				time.Sleep(time.Duration(200*seed.Below()) * time.Millisecond) // an order of faults, and no proof
+			}
+			t.Log(done)
+			c.until("all level after "+done, func(all []*quorum.Report) bool {
+				l := leader(all)
+				return c.level(all) && l >= 0 && len(all[l].Voters) == 3
+			})
+			all := c.finish(name)
+			if lost >= 0 { // with the record of what happened there
+				all[lost] = nil
+				for step := range 150 {
+					if c.names[1:][step%4] == c.names[lost] {
+						all[lost] = append(all[lost], place.Entry{Effect: place.Effect{Job: name, Step: step}})
+					}
+				}
+			}
+			c.done(all, name, 150, types[n%3] != owner.Safe)
+		}
+	})
+}
