--- a/deploy/poppymill.hcl
+++ b/deploy/poppymill.hcl
@@ -63,6 +63,7 @@
 #   lease     = "3s"                      # at least two elections
 #   slow_disk = "500ms"
 #   replace   = "1m"                      # for how long a voter must be gone before another gets its vote
+#   votes     = 3                         # how many are to vote; others are brought up while there are fewer
 #   keep      = 2000                      # entries kept for those that lag
 #   members   = 600                       # names remembered
 #   peer "g2" {
@@ -72,3 +73,14 @@
 #     address = "127.0.0.1:7103"
 #   }
 # }
+
+# Work on behalf of all gateways, with one owner at a time. Off unless this block stands here, beside quorum: docs/operate/owner.md.
+#
+# jobs {
+#   effect       = "2s"    # after which a step that nobody answered is taken for lost
+#   rest         = "100ms" # for which a job rests after a step that did not run; twice as long each time
+#   longest_rest = "5s"
+#   hold         = "2s"    # for which a gateway that was lost is given nothing after its return; twice as long each time
+#   longest_hold = "1m"
+#   again        = "1s"    # after which what was asked for in vain is asked for anew
+# }
--- a/internal/rehearsal/report/report.go
+++ b/internal/rehearsal/report/report.go
@@ -48,6 +48,7 @@
 	Measured []string           `json:"measured"` // what each expectation came to
 	Findings []string           `json:"findings"`
 	Fell     []string           `json:"fell"`
+	Work     map[string]int     `json:"owned_work,omitempty"` // lines in the records of places, by what they say
 }
 
 // Counts are wants by how they ended, and tries.
@@ -150,6 +151,20 @@
 	case world.Moved:
 		c.fig.Links[f.Link] += f.Bytes / 1e6
 		c.fig.Phases[c.phase(f.At)].Megabytes += f.Bytes / 1e6
+	case world.Effected:
+		if c.fig.Work == nil {
+			c.fig.Work = map[string]int{}
+		}
+		switch {
+		case f.Newer > 0:
+			c.fig.Work["refused as late"]++
+		case f.Told:
+			c.fig.Work["told of a grant"]++
+		case f.Again:
+			c.fig.Work["had happened before"]++
+		default:
+			c.fig.Work["happened"]++
+		}
 	case world.Fell:
 		c.fig.Fell = append(c.fig.Fell, fmt.Sprintf("%.0f ms: %s", f.At, f.Box))
 	case world.Wanted:
@@ -276,6 +291,9 @@
 		row("of "+m, *r.Figures.Members[m], "")
 	}
 	w.Flush()
+	for _, what := range slices.Sorted(maps.Keys(r.Figures.Work)) {
+		fmt.Fprintf(to, "owned work, in the records of places: %d %s\n", r.Figures.Work[what], what)
+	}
 	for _, f := range append(slices.Clone(r.Figures.Fell), r.Figures.Findings...) {
 		fmt.Fprintln(to, f)
 	}
--- a/internal/rehearsal/sockets/owner_test.go
+++ b/internal/rehearsal/sockets/owner_test.go
@@ -379,3 +379,49 @@
 		}
 	})
 }
+
+// How long a job stands still when its owner goes, by how it goes: POPPYMILL_TEST_MEASURE says how often each is played. A figure for
+// docs/quality.md, and no verdict.
+func TestTimeWithoutOwner(t *testing.T) {
+	times := 0
+	if fmt.Sscan(os.Getenv("POPPYMILL_TEST_MEASURE"), &times); times == 0 {
+		t.Skip("a measurement")
+	}
+	for _, how := range []string{"kill", "freeze", "restart", "part", "kill the leader that owns"} {
+		t.Run(how, func(t *testing.T) {
+			agree(t, func(s *script.Script) { s.Phases[0].For, s.Types[0].Expiry = 3.6e6, 1000 }, func(c *council) {
+				c.until("all level", c.level)
+				var took []float64
+				for n := range times {
+					name := fmt.Sprint("work-", n)
+					c.until("all level", c.level)
+					c.start(name, owner.Safe, 100_000, 1, 0)
+					var j owner.Report
+					l := -1
+					for { // the job that is wanted: its owner leads, or does not
+						j = c.untilJob(name, "begun", func(j owner.Report) bool { return j.Owner != "" && j.Done > 2 })
+						l = leader(c.stage.Reports(time.Second))
+						if l >= 0 && (how == "kill the leader that owns") == (c.names[l] == j.Owner) {
+							break
+						}
+						c.order(owner.Fence, owner.Claim{Job: name})
+						time.Sleep(20 * time.Millisecond)
+					}
+					do := how
+					if how == "kill the leader that owns" {
+						do = "kill"
+					}
+					at := time.Now()
+					c.happen(script.Event{Do: do, Name: j.Owner, For: 2500})
+					for c.job(name).Token == j.Token {
+						time.Sleep(2 * time.Millisecond)
+					}
+					took = append(took, time.Since(at).Seconds()*1000)
+					c.order(owner.Stop, owner.Claim{Job: name})
+				}
+				slices.Sort(took)
+				t.Logf("%s: of %d, median %.0f ms, 99th %.0f ms, worst %.0f ms", how, len(took), took[len(took)/2], took[min(len(took)-1, len(took)*99/100)], took[len(took)-1])
+			})
+		})
+	}
+}
