--- a/deploy/poppymill.hcl
+++ b/deploy/poppymill.hcl
@@ -82,5 +82,7 @@
 #   longest_rest = "5s"
 #   hold         = "2s"    # for which a gateway that was lost is given nothing after its return; twice as long each time
 #   longest_hold = "1m"
+#   warm_rounds  = 0       # steps of a job that fills an edge cache ahead when it starts; 0: none
+#   warm_each    = 24      # objects of each
 #   again        = "1s"    # after which what was asked for in vain is asked for anew
 # }
--- a/internal/gateway/core.go
+++ b/internal/gateway/core.go
@@ -77,10 +77,12 @@
 	tell      []router.Event
 	telling   bool
 	now       float64
-	most      int  // of those open at a time
-	open      int  // downloads that are owed an answer
-	ending    bool // told to end
-	over      bool // nothing more is taken
+	boots     func(node router.Entry) // told of nodes as they are listed, where somebody fills them ahead; nil: nobody does
+	aheads    int                     // downloads of this gateway's own, so far
+	most      int                     // of those open at a time
+	open      int                     // downloads that are owed an answer
+	ending    bool                    // told to end
+	over      bool                    // nothing more is taken
 }
 
 // download is one that was taken: until its one answer, and then until its last pull has ended.
@@ -99,6 +101,7 @@
 	timer                 *timer
 	out                   int
 	answered              bool
+	only                  string   // the edge cache that it is to fill ahead
 	link                  *linked  // nil where links are off
 	share                 *sharing // nil where shares are
 }
@@ -149,6 +152,9 @@
 	case Told:
 		g.Ring(e.At)
 		g.news(e.News)
+	case Ahead:
+		g.Ring(e.At)
+		g.ahead(e)
 	case Rekeyed:
 		if g.desk != nil {
 			g.desk.block = e.Block
@@ -185,6 +191,8 @@
 			g.pool.Drop(t.pull.wire, router.TimedOut, g.now)
 		case t.probe != nil:
 			g.pool.Drop(t.probe, router.TimedOut, g.now)
+		case t.filler != nil:
+			t.filler.next()
 		case g.fair != nil && t == g.fair.timer:
 			g.fair.timer = nil
 			g.shared(g.fair.gate.Ring(g.now))
@@ -420,20 +428,25 @@
 		return
 	}
 	g.Taken++
-	g.open++
 	d.client, d.number, d.body = e.Client, e.ID, e.Body
 	d.expiry += e.At
+	g.begin(d)
+	if g.fair != nil {
+		g.queue(d, e.Params)
+		return
+	}
+	g.let(d)
+}
+
+// begin notes a download that is owed an answer from now on.
+func (g *Core) begin(d *download) {
+	g.open++
 	g.downloads[d.id] = d
 	if g.clients[d.client] == nil {
 		g.clients[d.client] = map[uint16]*download{}
 	}
 	g.clients[d.client][d.number] = d
 	d.timer = g.timers.push(timer{at: d.expiry + g.config.Slack, dl: d})
-	if g.fair != nil {
-		g.queue(d, e.Params)
-		return
-	}
-	g.let(d)
 }
 
 // let has a download go on: once what it spends is written down, where there is a store.
@@ -632,7 +645,9 @@
 		if node.State == router.Draining {
 			g.shun(node.Node)
 		}
-		g.addresses[node.Node] = node.Address
+		if g.addresses[node.Node] = node.Address; g.boots != nil && node.State == router.Running {
+			g.boots(node.Entry)
+		}
 		g.pool.List(node.Node, node.Address, node.Booted)
 	}
 	if n.Scope != router.Changes {
--- a/internal/gateway/council.go
+++ b/internal/gateway/council.go
@@ -8,8 +8,10 @@
 
 	"poppymill/internal/failpoint"
 	"poppymill/internal/footprint"
+	"poppymill/internal/owner"
 	owned "poppymill/internal/owner/drive"
 	"poppymill/internal/quorum/drive"
+	"poppymill/router"
 )
 
 // council is this gateway's part in what the fleet agrees on, where the operator wants one. It has a loop of its own: the one
@@ -20,7 +22,7 @@
 	end     context.CancelFunc
 }
 
-func newCouncil(o *Settings, c *footprint.Config, log logrus.FieldLogger) (*council, error) {
+func newCouncil(o *Settings, c *footprint.Config, core *Core, p *poster, log logrus.FieldLogger) (*council, error) {
 	k := &council{log: log, end: func() {}}
 	b := o.Quorum
 	if !b.On {
@@ -28,8 +30,8 @@
 	}
 	failpoint.Set(o.Fails)
 	zone, _ := c.Footprint["zone"].(string)
-	jobs := o.Jobs
-	crew, err := owned.Open(jobs, b.Store, nil, log)
+	jobs, hands := o.Jobs, map[string]owned.Hand{owner.Warm: warmHand(p)}
+	crew, err := owned.Open(jobs, b.Store, hands, log)
 	if err != nil {
 		log.WithError(err).Error("jobs: this gateway owns nothing and no effect happens here until it is started anew")
 		jobs.On = false
@@ -38,7 +40,13 @@
 		}
 	}
 	b.Settings.Works = jobs.On
-	k.council, err = drive.Open(b, c.Name, zone, peersMost(c), crew, log)
+	if k.council, err = drive.Open(b, c.Name, zone, peersMost(c), crew, log); err == nil && jobs.On && jobs.Limits.WarmRounds > 0 {
+		core.Boots(func(n router.Entry) {
+			if left := ColdFor(c, n, p.now()); left > 0 {
+				k.council.Post(owner.Booted{Node: n.Node, Zone: n.Zone, Start: uint64(n.Booted), Left: left})
+			}
+		})
+	}
 	return k, err
 }
 
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -132,7 +132,7 @@
 }
 
 func (g *Core) arrived(d *download) {
-	g.event(router.Arrived{ID: d.id, Type: d.typ, Object: d.object, Expiry: d.expiry, Group: d.group, Part: d.part})
+	g.event(router.Arrived{ID: d.id, Type: d.typ, Object: d.object, Expiry: d.expiry, Group: d.group, Part: d.part, Only: d.only})
 }
 
 // Refusals tells why links were refused, by how often.
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -107,7 +107,7 @@
 		listener.Close()
 		return err
 	}
-	fleet, err := newCouncil(s.Operator, c, log)
+	fleet, err := newCouncil(s.Operator, c, core, p, log)
 	if err != nil {
 		listener.Close()
 		return err
--- a/internal/gateway/timers.go
+++ b/internal/gateway/timers.go
@@ -4,12 +4,13 @@
 
 // timer is one thing that is due: an alarm of the router's, or the limit of a pull, a probe, a download.
 type timer struct {
-	at    float64
-	token int64 // the router's; of a download's timer: waits, where it was not let out yet
-	pull  *pull
-	probe *caches.Pull
-	dl    *download
-	place int // in the heap, from 1; 0: it is not there
+	at     float64
+	token  int64 // the router's; of a download's timer: waits, where it was not let out yet
+	pull   *pull
+	probe  *caches.Pull
+	dl     *download
+	filler *filler
+	place  int // in the heap, from 1; 0: it is not there
 }
 
 // waits marks the timer of a download that waits before it goes out.
--- a/internal/owner/agent.go
+++ b/internal/owner/agent.go
@@ -15,12 +15,14 @@
 	LongestRest float64
 	Hold        float64 // for which a member that was lost once is given nothing after its return; twice as long with each loss
 	LongestHold float64
+	WarmRounds  int     // steps of a job that fills a node ahead; 0: none is asked for
+	WarmEach    int     // objects of each
 	Again       float64 // after which what was asked for in vain is asked for anew
 }
 
 // DefaultLimits are limits for a site on a local network.
 func DefaultLimits() Limits {
-	return Limits{Jobs: 256, Effect: 2000, Rest: 100, LongestRest: 5000, Hold: 2000, LongestHold: 60_000, Again: 1000}
+	return Limits{Jobs: 256, Effect: 2000, Rest: 100, LongestRest: 5000, Hold: 2000, LongestHold: 60_000, Again: 1000, WarmEach: 24}
 }
 
 // Agent is one gateway's part in owned work, joined: the book as far as it has followed the log, the planner where it leads, its
@@ -30,6 +32,7 @@
 	set     Limits
 	work    Work
 	planner Planner
+	warmer  Warmer
 	out     map[effect]Do
 	asked   map[string]float64 // grants that are on their way, by job
 	seen    map[string]uint64  // the last token of each job that its own place was told of
@@ -64,6 +67,12 @@
 	Answered struct{ InVain bool }
 	// Leaving tells that this gateway is about to end.
 	Leaving struct{}
+	// Booted tells of a node that has lately started, empty: what this gateway's list says of it.
+	Booted struct {
+		Node, Zone string
+		Start      uint64  // names the start of its process
+		Left       float64 // ms for which it is still cold
+	}
 )
 
 // Raise is an action beside Do and Ask: the agent's own place has to know of a grant that the log made, whatever comes there.
@@ -75,6 +84,7 @@
 // NewAgent makes one with an empty book.
 func NewAgent(set Limits) *Agent {
 	return &Agent{Book: New(set.Jobs), set: set, work: Work{Rest: set.Rest, LongestRest: set.LongestRest},
+		warmer:  Warmer{Rounds: set.WarmRounds, Each: set.WarmEach},
 		planner: Planner{Hold: set.Hold, Longest: set.LongestHold}, out: map[effect]Do{}, asked: map[string]float64{},
 		seen: map[string]uint64{}, again: math.Inf(1)}
 }
@@ -103,6 +113,8 @@
 			t = j.Type
 		}
 		do = append(do, a.work.Ended(now, e.Job, e.Token, e.Step, t, e.End)...)
+	case Booted:
+		a.warmer.Booted(now, e)
 	case Answered:
 		if e.InVain && !a.vain {
 			a.vain, a.again = true, now+a.set.Again
@@ -162,16 +174,23 @@
 
 // plan asks for grants where this gateway leads, each no more than once in the time after which it is asked for anew.
 func (a *Agent) plan(now float64) (do []any) {
+	for _, j := range a.warmer.Plan(now, a.Book) {
+		if at, ok := a.asked[j.Name]; ok && now < at+a.set.Again {
+			continue
+		}
+		a.asked[j.Name] = now
+		do = append(do, Ask{Kind: Start, Job: &j})
+	}
 	for _, c := range a.planner.Plan(now, a.Book) {
 		if at, ok := a.asked[c.Job]; ok && now < at+a.set.Again {
 			continue
 		}
 		a.asked[c.Job] = now
-		do = append(do, Ask{Grant, c})
+		do = append(do, Ask{Kind: Grant, Claim: c})
 	}
 	maps.DeleteFunc(a.asked, func(job string, at float64) bool {
 		j := a.Book.Jobs[job]
-		return now >= at+a.set.Again || j == nil || j.Owner != ""
+		return now >= at+a.set.Again || j != nil && j.Owner != ""
 	})
 	return do
 }
--- a/internal/owner/book.go
+++ b/internal/owner/book.go
@@ -21,6 +21,7 @@
 	Incarnation uint64 `cbor:"1,keyasint"`
 	There       bool   `cbor:"2,keyasint"`
 	Losses      uint64 `cbor:"3,keyasint"` // how often it went without a goodbye
+	Zone        string `cbor:"5,keyasint"`
 	Idle        bool   `cbor:"4,keyasint"` // it owns nothing: it does not take part in work, or is about to leave
 }
 
@@ -146,11 +147,11 @@
 }
 
 func (b *Book) start(index uint64, j Job) any {
-	fresh := Job{Name: j.Name, Kind: j.Kind, Data: j.Data, Steps: j.Steps, Type: j.Type, Window: j.Window, Places: j.Places, Since: index}
+	fresh := Job{Name: j.Name, Kind: j.Kind, Data: j.Data, Steps: j.Steps, Type: j.Type, Window: j.Window, Places: j.Places, Zone: j.Zone, Since: index}
 	fresh.note(index, "started")
 	if old := b.Jobs[j.Name]; old != nil {
 		// The same again does nothing; another under the same name would have steps counted as done that never ran.
-		if old.Kind == j.Kind && string(old.Data) == string(j.Data) && old.Steps == j.Steps && old.Type == j.Type && old.Window == j.Window &&
+		if old.Kind == j.Kind && string(old.Data) == string(j.Data) && old.Steps == j.Steps && old.Type == j.Type && old.Window == j.Window && old.Zone == j.Zone &&
 			slices.Equal(old.Places, j.Places) {
 			return old.copy()
 		}
--- a/internal/owner/door.go
+++ b/internal/owner/door.go
@@ -40,6 +40,7 @@
 	Grants      int            `cbor:"15,keyasint"`
 	Since       uint64         `cbor:"16,keyasint"`           // the place in the log of the last change of owner or state
 	Places      []string       `cbor:"17,keyasint,omitempty"` // gateways at which its effects happen, in turn; none: at its owner
+	Zone        string         `cbor:"19,keyasint,omitempty"` // its owner is best of that zone; empty: anybody
 	History     []Change       `cbor:"18,keyasint,omitempty"` // the last mostHistory of them
 }
 
--- a/internal/owner/drive/block.go
+++ b/internal/owner/drive/block.go
@@ -32,6 +32,8 @@
 		operator.Attr("hold", operator.Span(&l.Hold, 0, time.Minute)),
 		operator.Attr("longest_hold", operator.Span(&l.LongestHold, 0, 24*time.Hour)),
 		operator.Attr("again", operator.Span(&l.Again, 100*time.Millisecond, time.Minute)),
+		operator.Attr("warm_rounds", operator.Whole(&l.WarmRounds, 0, 1000)),
+		operator.Attr("warm_each", operator.Whole(&l.WarmEach, 1, 1000)),
 		operator.Check(func() error {
 			switch {
 			case l.LongestRest < l.Rest:
--- a/internal/owner/drive/crew.go
+++ b/internal/owner/drive/crew.go
@@ -55,7 +55,7 @@
 func (b book) Apply(index uint64, c quorum.Command) any { return b.Book.Apply(index, c.Kind, c.Data) }
 
 func (b book) Member(index uint64, m quorum.Member) {
-	b.Book.Member(index, m.Name, owner.Worker{Incarnation: m.Incarnation, There: m.Standing == quorum.Joined, Losses: m.Losses, Idle: !m.Works})
+	b.Book.Member(index, m.Name, owner.Worker{Incarnation: m.Incarnation, There: m.Standing == quorum.Joined, Losses: m.Losses, Zone: m.Zone, Idle: !m.Works})
 }
 
 // Leap has tokens rise above all that can have been given out.
@@ -142,7 +142,7 @@
 		if c.now >= c.agent.Next() {
 			c.carry(c.agent.Handle(c.now, nil))
 		}
-	default: // owner.Ended, owner.Answered
+	default: // owner.Ended, owner.Answered, owner.Booted
 		c.carry(c.agent.Handle(c.now, e))
 	}
 }
@@ -171,7 +171,11 @@
 			case owner.Grant:
 				failpoint.Here(failpoint.Granting)
 			}
-			c.council.Propose(quorum.Command{Book: Book, Kind: a.Kind, Data: canon.Encode(a.Claim)}, func(o quorum.Outcome) {
+			data := canon.Encode(a.Claim)
+			if a.Job != nil {
+				data = canon.Encode(a.Job)
+			}
+			c.council.Propose(quorum.Command{Book: Book, Kind: a.Kind, Data: data}, func(o quorum.Outcome) {
 				// Of what its process no longer may ask for nothing comes again.
 				c.Handle(c.now, owner.Answered{InVain: errors.Is(o.Err, quorum.ErrGivenUp) || errors.Is(o.Err, quorum.ErrBusy)})
 			})
@@ -188,7 +192,9 @@
 func (c *Crew) send(a owner.Do) {
 	e := place.Effect{Job: a.Job.Name, Kind: a.Job.Kind, Token: a.Token, Step: a.Step, Type: a.Job.Type, Data: a.Job.Data, From: c.stand.Name, Incarnation: c.stand.Incarnation}
 	ended := func(end owner.End) {
-		if end == owner.NeverRan {
+		if _, hand := c.hands[e.Kind]; end == owner.NeverRan && hand {
+			c.log.WithFields(logrus.Fields{"job": e.Job, "step": e.Step}).Info("jobs: a step finds no room yet")
+		} else if end == owner.NeverRan {
 			c.log.WithFields(logrus.Fields{"job": e.Job, "step": e.Step, "place": a.Job.Place(a.Step)}).Warn("jobs: a step could not be sent")
 		}
 		c.council.Post(owner.Ended{Job: e.Job, Token: e.Token, Step: e.Step, End: end})
--- a/internal/owner/plan.go
+++ b/internal/owner/plan.go
@@ -57,7 +57,11 @@
 		if j.Owner != "" || j.State != Running || len(able) == 0 {
 			continue
 		}
-		to := slices.MinFunc(able, func(x, y string) int { return cmp.Or(cmp.Compare(load[x], load[y]), cmp.Compare(x, y)) })
+		from := able
+		if near := slices.DeleteFunc(slices.Clone(able), func(name string) bool { return b.Workers[name].Zone != j.Zone }); j.Zone != "" && len(near) > 0 {
+			from = near
+		}
+		to := slices.MinFunc(from, func(x, y string) int { return cmp.Or(cmp.Compare(load[x], load[y]), cmp.Compare(x, y)) })
 		load[to]++
 		all = append(all, Claim{Job: j.Name, Name: to, Incarnation: b.Workers[to].Incarnation})
 	}
--- a/internal/owner/work.go
+++ b/internal/owner/work.go
@@ -42,6 +42,7 @@
 	Ask struct {
 		Kind  string
 		Claim Claim
+		Job   *Job // of a Start, in place of a claim
 	}
 )
 
@@ -92,7 +93,7 @@
 	if w.leaving || u.lost {
 		if len(u.out) == 0 && !u.over {
 			u.over = true
-			do = append(do, Ask{Release, Claim{Job: j.Name, Token: u.token, Leaving: w.leaving}})
+			do = append(do, Ask{Kind: Release, Claim: Claim{Job: j.Name, Token: u.token, Leaving: w.leaving}})
 		}
 		return do
 	}
@@ -111,7 +112,7 @@
 		if j.Type == Unsafe && j.Meant[step] != u.token {
 			if !u.asked[step] {
 				u.asked[step] = true
-				do = append(do, Ask{Mean, Claim{Job: j.Name, Token: u.token, Step: step}})
+				do = append(do, Ask{Kind: Mean, Claim: Claim{Job: j.Name, Token: u.token, Step: step}})
 			}
 			continue
 		}
@@ -129,7 +130,7 @@
 	switch {
 	case e == Ran:
 		// Told even where this member owns no more: the log settles a doubt by it.
-		ask := Ask{Did, Claim{Job: job, Token: token, Step: step}}
+		ask := Ask{Kind: Did, Claim: Claim{Job: job, Token: token, Step: step}}
 		if mine {
 			u.told[step], u.fails, u.until = ask, 0, 0
 		}
@@ -141,7 +142,7 @@
 		u.lost = true
 		delete(u.out, step)
 	case t == Unsafe && e == Perhaps:
-		u.told[step] = Ask{Unsure, Claim{Job: job, Token: token, Step: step}}
+		u.told[step] = Ask{Kind: Unsure, Claim: Claim{Job: job, Token: token, Step: step}}
 		do = append(do, u.told[step])
 	default:
 		delete(u.out, step) // it goes out again
@@ -171,7 +172,7 @@
 			do = append(do, u.told[step])
 		}
 		for _, step := range slices.Sorted(maps.Keys(u.asked)) {
-			do = append(do, Ask{Mean, Claim{Job: name, Token: u.token, Step: step}})
+			do = append(do, Ask{Kind: Mean, Claim: Claim{Job: name, Token: u.token, Step: step}})
 		}
 		u.over = false
 	}
--- a/internal/rehearsal/script/fields.go
+++ b/internal/rehearsal/script/fields.go
@@ -109,7 +109,7 @@
 	*q = Quorum{On: true, Voters: 3, Beat: 50, Election: 400, Lease: 1200, Replace: 60_000}
 	return []op.Field{op.Attr("voters", op.Whole(&q.Voters, 1, 7)), op.Attr("beat", op.Span(&q.Beat, 10*time.Millisecond, time.Second)),
 		op.Attr("election", op.Span(&q.Election, 50*time.Millisecond, time.Minute)), op.Attr("lease", op.Span(&q.Lease, 100*time.Millisecond, time.Minute)),
-		op.Attr("replace", op.Span(&q.Replace, time.Second, time.Hour))}
+		op.Attr("replace", op.Span(&q.Replace, time.Second, time.Hour)), op.Attr("warm", op.Whole(&q.Warm, 0, 1000))}
 }
 
 func (j *Job) fields() []op.Field {
--- a/internal/rehearsal/script/script.go
+++ b/internal/rehearsal/script/script.go
@@ -126,12 +126,13 @@
 	Longest float64 // ms that clients may be told to stay away
 }
 
-// Quorum has the gateways agree, on sockets alone.
+// Quorum has the gateways agree; in virtual time only to fill caches ahead.
 type Quorum struct {
 	On                    bool
 	Voters                int // the first so many gateways
 	Beat, Election, Lease float64
 	Replace               float64 // ms that a voter must be gone before another has its vote
+	Warm                  int     // steps of a job that fills a cache ahead which started lately; 0: none
 }
 
 // Job is work that is asked for on behalf of all gateways.
--- a/internal/rehearsal/sockets/relay.go
+++ b/internal/rehearsal/sockets/relay.go
@@ -73,7 +73,7 @@
 	if n < q.Voters {
 		text += "  founders = [" + strings.Join(founders, ", ") + "]\n"
 	}
-	return text + "}\njobs {\n  effect = \"1s\"\n  again = \"500ms\"\n  hold = \"500ms\"\n}\n"
+	return text + fmt.Sprintf("}\njobs {\n  effect = \"1s\"\n  again = \"500ms\"\n  hold = \"500ms\"\n  warm_rounds = %d\n}\n", q.Warm)
 }
 
 func (r *relays) accept(l *net.TCPListener, from, to int) {
--- a/internal/rehearsal/virtual/virtual.go
+++ b/internal/rehearsal/virtual/virtual.go
@@ -61,6 +61,7 @@
 // Stats are what the gateways counted, summed at their end.
 type Stats struct {
 	Downloads, Drifts, Overdue, Panics int
+	Ahead                              int     // objects that nodes were filled ahead with
 	Virtual                            float64 // ms that were played
 }
 
@@ -77,6 +78,8 @@
 	how     world.ChannelState
 	told    []channel.News
 	stats   Stats
+
+	agreement *agreement // nil: none
 }
 
 // gate is one gateway.
@@ -91,6 +94,7 @@
 	callers map[string]*caller
 	tidied  float64
 	block   drive.Block
+	config  *footprint.Config
 	log     logrus.FieldLogger
 	ended   float64 // told to end at; under 0: not
 	by      float64 // ms after which it answers all that is open
@@ -104,14 +108,19 @@
 
 // Run plays a script to its end.
 func Run(s *script.Script, o Options) (Stats, error) {
-	if i := slices.IndexFunc(s.Events, func(e script.Event) bool { return e.Do == "freeze" }); i >= 0 || s.Quorum.On {
-		return Stats{}, errors.New("gateways that agree, or are frozen, are rehearsed on sockets alone")
+	if slices.ContainsFunc(s.Events, func(e script.Event) bool {
+		return slices.Contains([]string{"freeze", "part", "copy", "fill_disk"}, e.Do) || e.Disk != ""
+	}) || len(s.Jobs) > 0 || s.Quorum.On && s.Quorum.Warm == 0 {
+		return Stats{}, errors.New("gateways that are frozen, parted, lose disks, or are asked for jobs are rehearsed on sockets alone")
 	}
 	d := &driver{Options: o, script: s, wires: map[int64]*wire{}, buffers: buffer.NewPool(1 << 34)}
 	d.world = world.New(s, world.Options{Epoch: epoch, Facts: o.Facts})
 	for i := range s.Gateways {
 		d.all = append(d.all, &gate{d: d, number: i})
 	}
+	if s.Quorum.On {
+		d.agreement = newAgreement(d)
+	}
 	end := s.Length() + 2*s.Longest() + 10_000
 	for !d.world.Over() && d.now < end {
 		at, ok := d.agenda.Next()
@@ -181,6 +190,9 @@
 			}
 		case world.Kill:
 			d.all[a.Gateway].close()
+			if d.agreement != nil {
+				d.agreement.parts[a.Gateway].end(false)
+			}
 		case world.Keys:
 			for _, g := range d.all {
 				d.rekey(g, a)
@@ -189,6 +201,9 @@
 			if g := d.all[a.Gateway]; g.core != nil {
 				g.core.Leave()
 				g.ended = d.now
+				if d.agreement != nil {
+					d.agreement.parts[a.Gateway].end(true)
+				}
 			}
 		}
 	}
@@ -275,6 +290,10 @@
 			g.core.Guard(links.New(s, ring, []byte(c.Name), d.unix()), g.block, nil, nil, d.unix)
 		}
 	}
+	if d.agreement != nil {
+		g.config = c
+		d.agreement.parts[g.number].start()
+	}
 	g.cursor, g.callers, g.ended, g.by = cursor, map[string]*caller{}, -1, float64(gateway.AnswerBy(c))/float64(time.Millisecond)
 	g.alarm = d.agenda.Add(math.Inf(1), func() { g.handle(nil) })
 	g.tick = d.agenda.Add(d.now+watchEvery, g.watch)
--- a/internal/rehearsal/world/config.go
+++ b/internal/rehearsal/world/config.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"strconv"
 )
 
@@ -9,6 +10,9 @@
 func (w *World) Config(number int) (name, seed string, settings map[string]any) {
 	s, g := w.script, w.gateways[number]
 	name = "gateway-" + string(rune('a'+number%26)) + "-" + g.zone
+	if more := number / 26; more > 0 {
+		name += fmt.Sprint("-", more)
+	}
 	seed = w.draws.id("gateway", number, g.starts)
 	zones, seats, attached, pipes := []any{}, []any{}, []any{}, []any{}
 	hubs := map[string]int{}
--- a/router/door.go
+++ b/router/door.go
@@ -27,6 +27,7 @@
 		Group            int64
 		Part             int64
 		Write            bool
+		Only             string // the one edge cache that is to be filled with it ahead; empty: whichever serves it best
 	}
 	// Ended tells how a pull ended. Closed says that the download is finished with it.
 	Ended struct {
@@ -120,6 +121,12 @@
 	Late, All float64 // answers by which that was judged lately
 }
 
+// Wanted is a part of an object that is asked for.
+type Wanted struct {
+	Type, Object string
+	Part, Group  int64
+}
+
 // Scope tells what a Listed changes.
 type Scope int
 
--- a/router/parts.go
+++ b/router/parts.go
@@ -1,6 +1,10 @@
 package router
 
-import "slices"
+import (
+	"cmp"
+	"fmt"
+	"slices"
+)
 
 // The parts' state and the notes they pass; what they do with it stands in router.go.
 
@@ -143,6 +147,7 @@
 	ways      int  // out of the ordinary that it has gone
 	done      bool
 	streaming bool
+	ahead     bool // it fills a cache with what will be asked for
 }
 
 // Node is a cache, a parent or the origin. It alone accepts or declines what is offered to it, as a pull's
@@ -184,6 +189,7 @@
 
 type entry struct {
 	key     object
+	typ     *Type
 	group   int64
 	parent  *Node
 	at      float64
@@ -263,3 +269,34 @@
 	}
 	return of("fills", &r.fills), of("questions", &r.asks)
 }
+
+// Hot lists what is asked for most of what an edge cache is the first for, the most first.
+func (r *Router) Hot(node string, most int) (all []Wanted) {
+	n := r.nodes[node]
+	if n == nil || n.state != Running {
+		return nil
+	}
+	type warm struct {
+		e    *entry
+		heat float64
+	}
+	var hot []warm
+	for _, e := range r.holders.entries {
+		if heat := e.heat.Sum(r.now); heat > 0 {
+			hot = append(hot, warm{e, heat})
+		}
+	}
+	slices.SortFunc(hot, func(a, b warm) int {
+		return cmp.Or(cmp.Compare(b.heat, a.heat), cmp.Compare(a.e.key.name, b.e.key.name), cmp.Compare(a.e.key.part, b.e.key.part))
+	})
+	tier := r.tier(edge, r.foot.text("zone"))
+	for _, x := range hot[:min(len(hot), 4096)] { // ranking is what it costs
+		if len(all) == most {
+			break
+		}
+		if r.rank(slices.Clone(tier), hash(x.e.key.name, fmt.Sprint(x.e.key.part)))[0] == n {
+			all = append(all, Wanted{Type: x.e.typ.name, Object: x.e.key.name, Part: x.e.key.part, Group: x.e.group})
+		}
+	}
+	return all
+}
--- a/router/router.go
+++ b/router/router.go
@@ -144,7 +144,7 @@
 		return
 	}
 	d := &Download{id: e.ID, typ: t, key: object{e.Object, e.Part}, group: e.Group, expiry: e.Expiry,
-		landed: r.now, write: e.Write || t.write}
+		landed: r.now, write: e.Write || t.write, ahead: e.Only != ""}
 	if flow := r.foot.num("flow"); flow > 0 && e.Size > 0 {
 		d.size = 1000 * e.Size / flow
 		t.count.Add(r.now, 1)
@@ -156,6 +156,12 @@
 	if !d.write {
 		d.parents = r.rank(r.tier(parent, ""), mix(key))
 	}
+	if d.ahead {
+		// Nobody waits for it: it is no sign of what is asked for, and goes nowhere but to the cache that it fills.
+		d.edges = slices.DeleteFunc(d.edges, func(n *Node) bool { return n.id != e.Only })
+		r.post(note{to: d, topic: arrived})
+		return
+	}
 	r.volume.Add(r.now, t.sending(r.now))
 	r.wanted.Add(r.now, t.benefit)
 	if len(d.edges) > 1 {
@@ -176,6 +182,10 @@
 }
 
 func (d *Download) take(r *Router, n note) {
+	if d.ahead && (n.topic == declined || n.topic == crowded || len(d.edges) == 0) && !d.done {
+		d.giveUp(r) // what is asked for goes first
+		return
+	}
 	switch n.topic {
 	case hung:
 		// Its answer may never come: others are asked for a second copy, while such are few and hardly anything
@@ -738,7 +748,7 @@
 func (h *Holders) get(r *Router, d *Download) *entry {
 	e := h.entries[d.key]
 	if e == nil {
-		e = &entry{key: d.key, group: d.group, heat: NewRing(heatSpan, 4)}
+		e = &entry{key: d.key, typ: d.typ, group: d.group, heat: NewRing(heatSpan, 4)}
 		h.entries[d.key] = e
 		h.order = append(h.order, e)
 		e.made, e.used = r.now, r.now
