--- a/internal/quorum/drive/council.go
+++ b/internal/quorum/drive/council.go
@@ -431,7 +431,13 @@
 	if _, err := nc.Write(quorum.Frame{Kind: quorum.Status, Data: canon.Encode(q)}.Append(b)); err != nil {
 		return r, err
 	}
-	f, err := read(nc)
+	var f quorum.Frame
+	var joiner quorum.Joiner
+	for whole := false; err == nil && !whole; {
+		if f, err = read(nc); err == nil {
+			f, whole, err = joiner.Join(f)
+		}
+	}
 	if err == nil && f.Kind != quorum.Status {
 		err = fmt.Errorf("%s: answered with something else", address)
 	}
--- a/internal/quorum/drive/peers.go
+++ b/internal/quorum/drive/peers.go
@@ -16,10 +16,11 @@
 // Bounds of what goes between two peers. Raft sends again what is lost, so a full queue costs time and nothing else.
 const (
 	queueMost   = 256
+	largeMost   = 4
 	writeWithin = 2 * time.Second
 	dialWithin  = time.Second
 	redialAfter = 100 * time.Millisecond
-	queueBytes  = 2 * quorum.MostFrame // that wait for one peer, at most
+	queueBytes  = quorum.MostWhole + 4*quorum.MostFrame // that wait for one peer, at most
 )
 
 // peers are the connections with other gateways. A connection's first frame names who opened it; frames then go both ways.
@@ -45,7 +46,8 @@
 type link struct {
 	nc     net.Conn
 	queue  chan []byte
-	queued atomic.Int64 // bytes
+	large  chan [][]byte // in pieces, which let what is small go in between
+	queued atomic.Int64  // bytes
 }
 
 func newPeers(name string, l net.Listener, most int, silent time.Duration) *peers {
@@ -86,7 +88,7 @@
 
 // run reads and writes a connection until it ends; its name is known from the start where this side opened it, to bring a frame.
 func (p *peers) run(nc net.Conn, name string, first ...quorum.Frame) {
-	l := &link{nc: nc, queue: make(chan []byte, queueMost)}
+	l := &link{nc: nc, queue: make(chan []byte, queueMost), large: make(chan [][]byte, largeMost)}
 	p.mu.Lock()
 	if p.ctx.Err() != nil || len(p.conns) >= p.most {
 		p.mu.Unlock()
@@ -107,28 +109,45 @@
 	ended := make(chan bool)
 	p.spawn(func() {
 		for {
+			var err error
 			select {
 			case b := <-l.queue:
-				l.queued.Add(-int64(len(b)))
-				nc.SetWriteDeadline(time.Now().Add(writeWithin))
-				if _, err := nc.Write(b); err != nil {
-					nc.Close()
-					return
+				err = l.write(b)
+			case pieces := <-l.large:
+				for _, b := range pieces {
+					for range len(l.queue) {
+						err = errors.Join(err, l.write(<-l.queue))
+					}
+					if err = errors.Join(err, l.write(b)); err != nil {
+						break
+					}
 				}
 			case <-ended:
 				return
 			}
+			if err != nil {
+				nc.Close()
+				return
+			}
 		}
 	})
 	p.spawn(func() {
 		name := name
 		r := bufio.NewReader(nc)
+		var joiner quorum.Joiner
 		for {
 			nc.SetReadDeadline(time.Now().Add(p.silent))
 			f, err := read(r)
 			if err != nil {
 				break
 			}
+			f, whole, err := joiner.Join(f)
+			if err != nil {
+				break
+			}
+			if !whole {
+				continue
+			}
 			if name == "" {
 				if f.Kind != quorum.Hello || len(f.Data) == 0 || len(f.Data) > 100 {
 					break
@@ -156,19 +175,38 @@
 	})
 }
 
+func (l *link) write(b []byte) error {
+	l.queued.Add(-int64(len(b)))
+	l.nc.SetWriteDeadline(time.Now().Add(writeWithin))
+	_, err := l.nc.Write(b)
+	return err
+}
+
 // post puts a frame in the queue, or lets go of it where too much waits.
 func (l *link) post(f quorum.Frame) bool {
-	b := f.Append(nil)
-	if l.queued.Load()+int64(len(b)) > queueBytes {
-		return false
+	pieces, bytes := f.Pieces(), int64(0)
+	for _, b := range pieces {
+		bytes += int64(len(b))
 	}
-	select {
-	case l.queue <- b:
-		l.queued.Add(int64(len(b)))
-		return true
-	default:
+	if l.queued.Add(bytes) > queueBytes {
+		l.queued.Add(-bytes)
 		return false
 	}
+	if len(pieces) == 1 {
+		select {
+		case l.queue <- pieces[0]:
+			return true
+		default:
+		}
+	} else {
+		select {
+		case l.large <- pieces:
+			return true
+		default:
+		}
+	}
+	l.queued.Add(-bytes)
+	return false
 }
 
 func read(r io.Reader) (f quorum.Frame, err error) {
--- a/internal/quorum/frame.go
+++ b/internal/quorum/frame.go
@@ -27,6 +27,7 @@
 	Effected                 // what became of it
 	Prove                    // what do you know of my identity? Answered by a Proof
 	Proof                    // Data: a Known
+	Piece                    // Data: of a larger frame, in its order on one connection; Applied: the length of the whole
 )
 
 // Frame is all that goes between two peers. What is not used by its kind is empty.
@@ -57,11 +58,53 @@
 
 // Bounds of a frame on the wire: its length and a checksum go ahead of it.
 const (
-	MostFrame  = 4 << 20
+	MostFrame  = 1 << 20  // on the wire
+	MostWhole  = 32 << 20 // put together of pieces
+	MostPiece  = 256 << 10
 	FrameHead  = 12
 	mostListed = 2048
 )
 
+// Pieces are a frame's bytes as they go out: in one, or, where it is large, in several frames, so that others can go in between.
+func (f Frame) Pieces() (all [][]byte) {
+	b := f.Append(nil)
+	if len(b) <= MostPiece {
+		return [][]byte{b}
+	}
+	for at := 0; at < len(b); at += MostPiece {
+		all = append(all, Frame{Kind: Piece, Applied: uint64(len(b)), Data: b[at:min(len(b), at+MostPiece)]}.Append(nil))
+	}
+	return all
+}
+
+// Joiner puts the pieces of one connection together.
+type Joiner struct{ held []byte }
+
+// Join takes a frame, and gives one back where it is whole.
+func (j *Joiner) Join(f Frame) (whole Frame, ok bool, err error) {
+	if f.Kind != Piece {
+		return f, true, nil
+	}
+	if f.Applied <= MostPiece || f.Applied > MostWhole || uint64(len(j.held)+len(f.Data)) > f.Applied || len(f.Data) == 0 {
+		return f, false, fmt.Errorf("frame: %w: a piece of %d bytes behind %d, of %d", canon.ErrUnreadable, len(f.Data), len(j.held), f.Applied)
+	}
+	if j.held = append(j.held, f.Data...); uint64(len(j.held)) < f.Applied {
+		return f, false, nil
+	}
+	var head [FrameHead]byte
+	copy(head[:], j.held)
+	n := binary.BigEndian.Uint32(head[:])
+	if uint64(n)+FrameHead != f.Applied {
+		return f, false, fmt.Errorf("frame: %w: pieces of %d bytes, and a frame of %d", canon.ErrUnreadable, f.Applied, n)
+	}
+	whole, err = Read(head, j.held[FrameHead:])
+	j.held = nil
+	if err == nil && whole.Kind == Piece {
+		err = fmt.Errorf("frame: %w: a piece of pieces", canon.ErrUnreadable)
+	}
+	return whole, err == nil, err
+}
+
 // Append puts a frame's bytes behind others: length, checksum, content.
 func (f Frame) Append(to []byte) []byte {
 	content := canon.Encode(f)
@@ -87,7 +130,7 @@
 	switch err = canon.Decode(content, &f); {
 	case err != nil:
 		err = fmt.Errorf("frame: %w", err)
-	case f.Kind < Hello || f.Kind > Proof || len(f.Commands)+len(f.Renewals) > mostListed:
+	case f.Kind < Hello || f.Kind > Piece || len(f.Commands)+len(f.Renewals) > mostListed:
 		err = fmt.Errorf("frame: %w: of kind %d, with %d commands and %d renewals", canon.ErrUnreadable, f.Kind, len(f.Commands), len(f.Renewals))
 	}
 	return f, err
--- a/internal/quorum/fuzz_test.go
+++ b/internal/quorum/fuzz_test.go
@@ -54,3 +54,41 @@
 		}
 	})
 }
+
+// A large frame goes out in pieces and comes back whole, with others in between; pieces that don't fit are refused.
+func TestPieces(t *testing.T) {
+	large := Frame{Kind: Follow, Applied: 9, Snapshot: make([]byte, 3*MostPiece+17)}
+	large.Snapshot[MostPiece] = 7
+	var j Joiner
+	var got Frame
+	pieces := large.Pieces()
+	for i, b := range pieces {
+		var head [FrameHead]byte
+		copy(head[:], b)
+		if n, err := Length(head); err != nil || n != len(b)-FrameHead {
+			t.Fatalf("piece %d: %d, %v", i, n, err)
+		}
+		f, err := Read(head, b[FrameHead:])
+		if err != nil {
+			t.Fatal(err)
+		}
+		if x, whole, err := j.Join(Frame{Kind: Yield, Nonce: 3}); err != nil || !whole || x.Nonce != 3 {
+			t.Fatalf("in between: %+v, %v", x, err)
+		}
+		x, whole, err := j.Join(f)
+		if err != nil || whole != (i == len(pieces)-1) {
+			t.Fatalf("piece %d of %d: %t, %v", i, len(pieces), whole, err)
+		}
+		got = x
+	}
+	if string(got.Append(nil)) != string(large.Append(nil)) || len(pieces) < 4 {
+		t.Errorf("%d pieces make something else", len(pieces))
+	}
+	for _, f := range []Frame{{Kind: Piece}, {Kind: Piece, Applied: MostWhole + 1, Data: []byte{1}}, {Kind: Piece, Applied: 5, Data: make([]byte, 9)},
+		{Kind: Piece, Applied: MostPiece + 1, Data: make([]byte, MostPiece+1)}} {
+		var j Joiner
+		if _, whole, err := j.Join(f); err == nil || whole {
+			t.Errorf("a piece of %d bytes of %d is taken", len(f.Data), f.Applied)
+		}
+	}
+}
