Machines out for work: life, limits and plan (pure), a part of the agreement, core leaves nodes, command

Need: operators ask which machines go and by when, the gateways settle who goes when. Also: a draining node was listed after it was shunned, which undid that.

--- a/cmd/poppymill/quorum.go
+++ b/cmd/poppymill/quorum.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"os"
 	"sync"
 	"text/tabwriter"
@@ -12,6 +13,7 @@
 
 	"github.com/urfave/cli/v3"
 
+	machines "poppymill/internal/maintenance/drive"
 	owned "poppymill/internal/owner/drive"
 	"poppymill/internal/quorum"
 	"poppymill/internal/quorum/drive"
@@ -116,7 +118,9 @@
 	if cmd.Args().Len() != 1 {
 		return unusable(errors.New("quorum recover: the FOLDER of one store is to be named"))
 	}
-	r, err := drive.Recover(cmd.Args().First(), owned.Books(), cmd.Bool("yes"))
+	books := owned.Books()
+	maps.Copy(books, machines.Books())
+	r, err := drive.Recover(cmd.Args().First(), books, cmd.Bool("yes"))
 	if err != nil {
 		return unusable(fmt.Errorf("quorum recover: %s: %w", cmd.Args().First(), err))
 	}
--- a/internal/failpoint/failpoint.go
+++ b/internal/failpoint/failpoint.go
@@ -14,19 +14,20 @@
 
 // The places.
 const (
-	Saving   = "quorum.saving"  // before a record is written to the disk
-	Saved    = "quorum.saved"   // it is on the disk, and nobody knows
-	Agreed   = "quorum.agreed"  // commands were agreed, and nothing of it has gone out
-	Sending  = "jobs.sending"   // it is known to own the job, and the effect has not gone out
-	Happened = "jobs.happened"  // the effect has happened, and the log does not know
-	Checked  = "place.checked"  // a place has let a token pass, and nothing has happened
-	Written  = "place.written"  // an effect is written and not synced
-	Synced   = "place.synced"   // it is on the disk, and its sender does not know
-	Granting = "jobs.granting"  // the leader is about to ask for a grant
-	Leaving  = "quorum.leaving" // its goodbye has not gone out
+	Saving     = "quorum.saving"     // before a record is written to the disk
+	Saved      = "quorum.saved"      // it is on the disk, and nobody knows
+	Agreed     = "quorum.agreed"     // commands were agreed, and nothing of it has gone out
+	Sending    = "jobs.sending"      // it is known to own the job, and the effect has not gone out
+	Happened   = "jobs.happened"     // the effect has happened, and the log does not know
+	Checked    = "place.checked"     // a place has let a token pass, and nothing has happened
+	Written    = "place.written"     // an effect is written and not synced
+	Synced     = "place.synced"      // it is on the disk, and its sender does not know
+	Granting   = "jobs.granting"     // the leader is about to ask for a grant
+	Scheduling = "machines.granting" // the owner of the schedule is about to ask for a grant
+	Leaving    = "quorum.leaving"    // its goodbye has not gone out
 )
 
-var known = []string{Saving, Saved, Agreed, Sending, Happened, Checked, Written, Synced, Granting, Leaving}
+var known = []string{Saving, Saved, Agreed, Sending, Happened, Checked, Written, Synced, Granting, Scheduling, Leaving}
 
 // Block is what an operator's file says: at each place, the how-manieth pass it is at which the process stops or ends.
 type Block struct {
--- a/internal/gateway/core.go
+++ b/internal/gateway/core.go
@@ -78,11 +78,14 @@
 	telling   bool
 	now       float64
 	boots     func(node router.Entry) // told of nodes as they are listed, where somebody fills them ahead; nil: nobody does
-	aheads    int                     // downloads of this gateway's own, so far
-	most      int                     // of those open at a time
-	open      int                     // downloads that are owed an answer
-	ending    bool                    // told to end
-	over      bool                    // nothing more is taken
+	nodes     map[string]router.Entry // as they are listed
+	listed    func(there map[string]bool)
+	left      *leaving // nodes that it sends nothing to, whatever the list says; nil: none
+	aheads    int      // downloads of this gateway's own, so far
+	most      int      // of those open at a time
+	open      int      // downloads that are owed an answer
+	ending    bool     // told to end
+	over      bool     // nothing more is taken
 }
 
 // download is one that was taken: until its one answer, and then until its last pull has ended.
@@ -119,7 +122,7 @@
 func NewCore(c *footprint.Config, pool *caches.Pool, log logrus.FieldLogger, now float64) *Core {
 	g := &Core{config: c, log: log, scarce: &scarce{log: log}, router: router.New(), pool: pool, downloads: map[string]*download{},
 		clients: map[Client]map[uint16]*download{}, probes: map[*caches.Pull]*timer{},
-		addresses: map[string]string{}, most: Share(c).Open, now: now}
+		addresses: map[string]string{}, nodes: map[string]router.Entry{}, most: Share(c).Open, now: now}
 	g.event(router.Started{Seed: c.Seed, Footprint: c.Footprint})
 	for _, n := range c.Known {
 		g.news(n)
@@ -155,6 +158,9 @@
 	case Ahead:
 		g.Ring(e.At)
 		g.ahead(e)
+	case Leave:
+		g.Ring(e.At)
+		g.leaveNodes(e)
 	case Rekeyed:
 		if g.desk != nil {
 			g.desk.block = e.Block
@@ -212,6 +218,7 @@
 	g.Ring(now)
 	g.pool.Watch(now)
 	g.settle()
+	g.left.look(g)
 }
 
 // Next is when something is due next; false where nothing is.
@@ -636,19 +643,20 @@
 	list := router.Listed{Scope: n.Scope}
 	named := map[string]bool{}
 	for _, node := range n.Nodes {
-		list.Entries = append(list.Entries, node.Entry)
+		g.nodes[node.Node] = node.Entry
+		list.Entries = append(list.Entries, g.left.entry(node.Entry))
 		named[node.Node] = true
 		if node.State == router.Gone {
 			g.gone(node.Node)
 			continue
 		}
-		if node.State == router.Draining {
-			g.shun(node.Node)
-		}
 		if g.addresses[node.Node] = node.Address; g.boots != nil && node.State == router.Running {
 			g.boots(node.Entry)
 		}
 		g.pool.List(node.Node, node.Address, node.Booted)
+		if g.left.entry(node.Entry).State == router.Draining {
+			g.shun(node.Node) // after it is listed, which would have it asked whether it is there
+		}
 	}
 	if n.Scope != router.Changes {
 		for _, id := range slices.Sorted(maps.Keys(g.addresses)) {
@@ -658,6 +666,7 @@
 		}
 	}
 	g.event(list)
+	g.tellListed()
 }
 
 // withdraw takes back pulls that are not yet written; the router hears of it after the news that it is for.
@@ -676,5 +685,6 @@
 func (g *Core) gone(id string) {
 	g.shun(id)
 	delete(g.addresses, id)
+	delete(g.nodes, id)
 	g.pool.Gone(id)
 }
--- a/internal/gateway/council.go
+++ b/internal/gateway/council.go
@@ -8,6 +8,7 @@
 
 	"poppymill/internal/failpoint"
 	"poppymill/internal/footprint"
+	machines "poppymill/internal/maintenance/drive"
 	"poppymill/internal/owner"
 	owned "poppymill/internal/owner/drive"
 	"poppymill/internal/quorum/drive"
@@ -30,7 +31,7 @@
 	}
 	failpoint.Set(o.Fails)
 	zone, _ := c.Footprint["zone"].(string)
-	jobs, hands := o.Jobs, map[string]owned.Hand{owner.Warm: warmHand(p)}
+	jobs, hands := o.Jobs, map[string]owned.Hand{owner.Warm: warmHand(p), machines.Hold: machines.HoldHand()}
 	crew, err := owned.Open(jobs, b.Store, hands, log)
 	if err != nil {
 		log.WithError(err).Error("jobs: this gateway owns nothing and no effect happens here until it is started anew")
@@ -40,7 +41,11 @@
 		}
 	}
 	b.Settings.Works = jobs.On
-	if k.council, err = drive.Open(b, c.Name, zone, peersMost(c), crew, log); err == nil && jobs.On && jobs.Limits.WarmRounds > 0 {
+	yard := machines.Open(o.Machines, crew, corePeer{p}, log)
+	if k.council, err = drive.Open(b, c.Name, zone, peersMost(c), drive.Parts{crew, yard}, log); err == nil && o.Machines.On {
+		core.Listed(func(there map[string]bool) { k.council.Post(machines.Nodes{There: there}) })
+	}
+	if err == nil && jobs.On && jobs.Limits.WarmRounds > 0 {
 		core.Boots(func(n router.Entry) {
 			if left := ColdFor(c, n, p.now()); left > 0 {
 				k.council.Post(owner.Booted{Node: n.Node, Zone: n.Zone, Start: uint64(n.Booted), Left: left})
--- a/internal/gateway/reload.go
+++ b/internal/gateway/reload.go
@@ -12,6 +12,7 @@
 	"poppymill/internal/channel"
 	"poppymill/internal/failpoint"
 	"poppymill/internal/footprint"
+	machines "poppymill/internal/maintenance/drive"
 	owned "poppymill/internal/owner/drive"
 	agreement "poppymill/internal/quorum/drive"
 )
@@ -37,6 +38,7 @@
 	guard         *guard
 	quorum        agreement.Block // as started
 	jobs          owned.Block     // as started
+	machines      machines.Block  // as started
 	operator      atomic.Pointer[Settings]
 	done, misread atomic.Int64
 }
@@ -71,6 +73,9 @@
 			failpoint.Set(f)
 			r.log.WithFields(logrus.Fields{"stop": f.Stop, "kill": f.Kill}).Warn("failpoints in force")
 		}
+		if !reflect.DeepEqual(s.Operator.Machines, r.machines) {
+			fixed = append(fixed, "machines")
+		}
 		if !reflect.DeepEqual(s.Operator.Jobs, r.jobs) {
 			fixed = append(fixed, "jobs")
 		}
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -5,6 +5,7 @@
 
 	"poppymill/internal/failpoint"
 	"poppymill/internal/links/drive"
+	machines "poppymill/internal/maintenance/drive"
 	"poppymill/internal/operator"
 	owned "poppymill/internal/owner/drive"
 	agreement "poppymill/internal/quorum/drive"
@@ -18,6 +19,8 @@
 	Quorum agreement.Block
 	Jobs   owned.Block
 	Fails  failpoint.Block
+
+	Machines machines.Block
 }
 
 // LoadSettings reads an operator's file; no path is no file, and settings that change nothing.
@@ -32,11 +35,15 @@
 	}
 	if err := operator.Parse(text, path, operator.One("log", s.Log.Fields), operator.One("links", s.Links.Fields),
 		operator.One("fair", s.Fair.Fields), operator.One("quorum", s.Quorum.Fields),
-		operator.One("jobs", s.Jobs.Fields), operator.One("failpoints", s.Fails.Fields)); err != nil {
+		operator.One("jobs", s.Jobs.Fields), operator.One("failpoints", s.Fails.Fields),
+		operator.One("machines", s.Machines.Fields)); err != nil {
 		return nil, err
 	}
 	if s.Jobs.On && !s.Quorum.On {
 		return nil, fmt.Errorf("%s: jobs: needs the block quorum", path)
 	}
+	if s.Machines.On && !s.Jobs.On {
+		return nil, fmt.Errorf("%s: machines: needs the block jobs", path)
+	}
 	return s, nil
 }
--- /dev/null
+++ b/internal/maintenance/drive/block.go
@@ -0,0 +1,50 @@
+package drive
+
+import (
+	"errors"
+	"time"
+
+	"poppymill/internal/maintenance"
+	"poppymill/internal/operator"
+)
+
+// Block is what an operator says of machines; off unless it stands in the file. It needs the blocks quorum and jobs.
+type Block struct {
+	On        bool
+	Inventory maintenance.Inventory
+}
+
+// Fields are those of the block machines.
+func (b *Block) Fields() []operator.Field {
+	b.On = true
+	b.Inventory = maintenance.Inventory{Version: 1, Limits: maintenance.Limits{Most: 1, Begin: 60_000, Drain: 30_000, Warm: 60_000, Overdue: 2, Grace: 1000}}
+	l := &b.Inventory.Limits
+	silent := "back"
+	return []operator.Field{
+		operator.Must("version", operator.Whole(&b.Inventory.Version, 1, 1<<30)),
+		operator.Attr("most", operator.Whole(&l.Most, 0, 4096)), operator.Attr("per_club", operator.Whole(&l.PerClub, 0, 4096)),
+		operator.Attr("per_zone", operator.Whole(&l.PerZone, 0, 4096)),
+		operator.Attr("gateways", operator.Share(&l.Gateways)), operator.Attr("boxes", operator.Share(&l.Boxes)), operator.Attr("hubs", operator.Share(&l.Hubs)),
+		operator.Attr("reserve", operator.Number(&l.Reserve, 0, 10)),
+		operator.Attr("begin", operator.Span(&l.Begin, time.Second, 24*time.Hour)), operator.Attr("drain", operator.Span(&l.Drain, 100*time.Millisecond, 24*time.Hour)),
+		operator.Attr("warm", operator.Span(&l.Warm, 0, 24*time.Hour)), operator.Attr("grace", operator.Span(&l.Grace, 0, time.Hour)),
+		operator.Attr("overdue", operator.Number(&l.Overdue, 1, 100)),
+		operator.Attr("silent", operator.OneOf(&silent, "back", "out")),
+		operator.Block("machine", []string{"name"}, func(labels []string, _ int) ([]operator.Field, error) {
+			b.Inventory.Machines = append(b.Inventory.Machines, maintenance.Machine{Name: labels[0]})
+			m := &b.Inventory.Machines[len(b.Inventory.Machines)-1] // read before the next one moves them
+			return []operator.Field{operator.Must("club", operator.Text(&m.Club)), operator.Attr("zone", operator.Text(&m.Zone)),
+				operator.Attr("gateways", operator.Texts(&m.Gateways)), operator.Attr("boxes", operator.Texts(&m.Boxes)), operator.Attr("hubs", operator.Texts(&m.Hubs)),
+				operator.Attr("carries", operator.Number(&m.Carries, 0, 1e12))}, nil
+		}),
+		operator.Check(func() error {
+			if len(b.Inventory.Machines) == 0 {
+				return errors.New("machine: none is named")
+			}
+			if silent == "out" {
+				l.Silent = maintenance.GoOut
+			}
+			return b.Inventory.Check()
+		}),
+	}
+}
--- a/internal/owner/drive/crew.go
+++ b/internal/owner/drive/crew.go
@@ -102,6 +102,21 @@
 // Idle tells whether nothing of its own is under way.
 func (c *Crew) Idle() bool { return c.agent.Idle() }
 
+// Owns tells whether this gateway owns a job, as far as it has followed the log, and under which token.
+func (c *Crew) Owns(job string) (uint64, bool) {
+	j := c.agent.Book.Jobs[job]
+	if j == nil || j.Owner != c.stand.Name || j.Incarnation != c.stand.Incarnation || c.stand.Incarnation == 0 {
+		return 0, false
+	}
+	return j.Token, true
+}
+
+// Has tells whether a job runs.
+func (c *Crew) Has(job string) bool {
+	j := c.agent.Book.Jobs[job]
+	return j != nil && j.State == owner.Running
+}
+
 // Close ends it.
 func (c *Crew) Close() error {
 	c.closed = true
@@ -142,7 +157,7 @@
 		if c.now >= c.agent.Next() {
 			c.carry(c.agent.Handle(c.now, nil))
 		}
-	default: // owner.Ended, owner.Answered, owner.Booted
+	case owner.Ended, owner.Answered, owner.Booted:
 		c.carry(c.agent.Handle(c.now, e))
 	}
 }
@@ -304,7 +319,7 @@
 		}
 		return all[max(0, len(all)-mostTold):], nil
 	}
-	return nil, fmt.Errorf("%q: this gateway knows nothing of that", about)
+	return nil, agreement.ErrNotMine
 }
 
 // mostTold bounds the effects of one answer, which has to fit a frame.
--- a/internal/quorum/council.go
+++ b/internal/quorum/council.go
@@ -51,6 +51,9 @@
 		if id == n.id.ID || m != nil && m.Standing == Joined && progress[id].RecentActive {
 			here++
 			delete(n.council.gone, id)
+			if gone == 0 && id != n.id.ID && n.retire[m.Name] {
+				gone = id // it is there, and is about to go: another has its vote first
+			}
 			continue
 		}
 		at, known := n.council.gone[id]
@@ -89,7 +92,7 @@
 	}
 	var best *Member
 	for _, m := range n.members.All() {
-		if m.Standing == Joined && m.Identity != 0 && n.votes(m.Identity) == none && (best == nil || zones[m.Zone] < zones[best.Zone]) {
+		if m.Standing == Joined && m.Identity != 0 && n.votes(m.Identity) == none && !n.retire[m.Name] && (best == nil || zones[m.Zone] < zones[best.Zone]) {
 			best = m
 		}
 	}
@@ -100,6 +103,18 @@
 	n.change("is brought up to vote", best.Identity, raftpb.ConfChangeType_ConfChangeAddLearnerNode)
 }
 
+// Retire names gateways that are about to go for a while, in place of those named before: who of them votes has its vote taken over by
+// another first, and who of them leads hands over.
+func (n *Node) Retire(names []string) {
+	clear(n.retire)
+	for _, name := range names {
+		n.retire[name] = true
+	}
+	if n.retire[n.set.Name] && n.leads() && n.raft.BasicStatus().LeadTransferee == 0 {
+		n.handOver()
+	}
+}
+
 // few tells whether fewer vote than are to, as after a majority was lost for good. None is added beside one that is gone: of the two
 // that would then vote one alone is no majority.
 func (n *Node) few() bool {
--- a/internal/quorum/drive/council.go
+++ b/internal/quorum/drive/council.go
@@ -187,6 +187,12 @@
 // the loop, as all that a Part does.
 func (c *Council) Send(to string, f quorum.Frame, never func()) { c.peers.send(to, f, never) }
 
+// Retire names gateways that are about to go for a while: their votes go to others first. Of the loop.
+func (c *Council) Retire(names []string) { c.node.Retire(names) }
+
+// Voters are the names of those that vote, sorted. Of the loop.
+func (c *Council) Voters() []string { return c.node.Voters() }
+
 // Run plays this gateway's part until the context ends; then it says goodbye and returns.
 func (c *Council) Run(ctx context.Context) error {
 	c.peers.serve()
--- a/internal/quorum/node.go
+++ b/internal/quorum/node.go
@@ -60,6 +60,7 @@
 	said    map[said]float64   // the leader's own commands that are on their way
 	names   map[uint64]string  // who was heard of, by identity: a gateway that lags knows no more of a voter that is new
 	strange map[string]bool    // peers of which it was said that they belong to another fleet
+	retire  map[string]bool    // who is about to go for a while
 	starts  uint64             // of its store, this one counted
 	marks   map[uint64]Mark    // what others were seen to hold, by identity
 	proof   *proof             // it asks others about its store, and takes no part yet
@@ -113,7 +114,7 @@
 	n := &Node{set: set, now: now, chance: chance.Chance((set.Seed^nonce)>>1 | 1), nonce: nonce, id: store.Identity, founded: store.Founding,
 		members: newMembers(set.Members), books: books, fresh: map[string]hello{}, renewed: map[uint64]float64{},
 		gather: map[uint64]Renewal{}, said: map[said]float64{}, names: map[uint64]string{}, strange: map[string]bool{}, renewAt: now, joining: now,
-		starts: store.Starts + 1, marks: map[uint64]Mark{}}
+		starts: store.Starts + 1, marks: map[uint64]Mark{}, retire: map[string]bool{}}
 	maps.Copy(n.marks, store.Marks)
 	n.chance.Next()
 	if n.id.ID == 0 {
--- a/internal/quorum/report.go
+++ b/internal/quorum/report.go
@@ -1,6 +1,8 @@
 package quorum
 
 import (
+	"slices"
+
 	"go.etcd.io/raft/v3"
 )
 
@@ -89,3 +91,16 @@
 	}
 	return ""
 }
+
+// Voters are the names of those that vote, sorted; nobody while one of them is not known by name.
+func (n *Node) Voters() (all []string) {
+	for _, id := range n.conf.GetVoters() {
+		name := n.name(id)
+		if name == "" {
+			return nil
+		}
+		all = append(all, name)
+	}
+	slices.Sort(all)
+	return all
+}
--- /dev/null
+++ b/internal/rehearsal/sockets/machines_test.go
@@ -0,0 +1,273 @@
+package sockets
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"poppymill/internal/canon"
+	"poppymill/internal/failpoint"
+	"poppymill/internal/maintenance"
+	machines "poppymill/internal/maintenance/drive"
+	"poppymill/internal/owner"
+	"poppymill/internal/quorum"
+	"poppymill/internal/quorum/drive"
+	"poppymill/internal/rehearsal/script"
+	"poppymill/internal/rehearsal/world"
+)
+
+// yard is a stage with machines, and their agents: stand-ins that ask whether they may go, go when they may, and come back.
+type yard struct {
+	*council
+	boxes   []string
+	mu      sync.Mutex
+	out     map[string]float64 // machines that are out, by their agents, and since when
+	worst   int                // most that were out at a time, losses counted
+	lost    int                // gone unplanned
+	outs    map[string]int
+	faults  []string
+	never   map[string]bool // agents that do not come back
+	running sync.WaitGroup
+}
+
+const takes = 700.0
+
+// work plays a work night: five gateways, six boxes, each on a machine of its own; two may be out at a time.
+func work(t *testing.T, limits string, faults func(y *yard)) {
+	y := &yard{out: map[string]float64{}, outs: map[string]int{}, never: map[string]bool{}}
+	agreeAfter(t, func(s *script.Script) {
+		s.Box.Count, s.Quorum.Replace, s.Types[0].Expiry = 6, 2000, 1000
+	}, func(c *council) {
+		y.council = c
+		_, events := c.stage.world.Known()
+		for _, e := range events {
+			if nodes, ok := e["nodes"].(map[string]any); ok {
+				for _, p := range nodes["endpoints"].([]any) {
+					if p := p.(map[string]any); p["type"] == "box" {
+						y.boxes = append(y.boxes, p["name"].(string))
+					}
+				}
+			}
+		}
+		c.extra = "machines {\n  version = 1\n  begin = \"20s\"\n  warm = \"300ms\"\n  grace = \"500ms\"\n" + limits
+		for _, g := range c.names {
+			c.extra += fmt.Sprintf("  machine %q {\n    club = \"club\"\n    gateways = [%q]\n  }\n", "m-"+g, g)
+		}
+		for _, b := range y.boxes {
+			c.extra += fmt.Sprintf("  machine %q {\n    club = \"club\"\n    boxes = [%q]\n  }\n", "m-"+b, b)
+		}
+		c.extra += "}\n"
+		c.see = y.see
+	}, func(c *council) {
+		c.until("all level", c.level)
+		c.wait("the machines are known", func() bool { return len(y.all().Machines) == len(c.names)+len(y.boxes) })
+		faults(y)
+		y.mu.Lock()
+		defer y.mu.Unlock()
+		for _, f := range y.faults {
+			t.Error(f)
+		}
+	})
+}
+
+// see judges from the far side: nothing comes to a box that is out.
+func (y *yard) see(f world.Fact) {
+	if p, ok := f.(world.Pulled); ok {
+		y.mu.Lock()
+		defer y.mu.Unlock()
+		if since, out := y.out["m-"+p.Box]; out && p.At > since+Slack {
+			y.faults = append(y.faults, fmt.Sprintf("gateway %d sends to %s %.0f ms after it was out", p.Gateway, p.Box, p.At-since))
+		}
+	}
+}
+
+type fleet struct {
+	Machines []machines.Machine
+}
+
+// ask puts a question, or an order, to one gateway after another until one answers.
+func (y *yard) put(q drive.Question, to any, from int) (error, bool) {
+	for i := range y.names {
+		r, err := y.stage.Put((from+i)%len(y.names), q, time.Second)
+		if err != nil || q.Command != nil && !r.Report.Majority && r.Error != "" {
+			continue
+		}
+		if r.Error != "" {
+			return fmt.Errorf("%s", r.Error), true
+		}
+		if to != nil {
+			return json.Unmarshal(r.Body, to), true
+		}
+		return nil, true
+	}
+	return nil, false
+}
+
+func (y *yard) all() (f fleet) {
+	y.put(drive.Question{About: "machines"}, &f, 0)
+	return f
+}
+
+func (y *yard) order(kind string, o maintenance.Order, from int) (error, bool) {
+	o.At = float64(time.Now().UnixMilli())
+	return y.put(drive.Question{Command: &quorum.Command{Book: machines.Book, Kind: kind, Data: canon.Encode(o)}}, nil, from)
+}
+
+// ask has a machine taken out, and starts its agent.
+func (y *yard) asks(names ...string) {
+	for i, name := range names {
+		y.wait("the request for "+name+" is agreed", func() bool {
+			err, answered := y.order(maintenance.Ask, maintenance.Order{Request: &maintenance.Request{ID: "r-" + name, Machine: name, Takes: takes}}, i)
+			return err == nil && answered
+		})
+		y.running.Add(1)
+		go func() {
+			defer y.running.Done()
+			y.agent(name, i)
+		}()
+	}
+}
+
+// agent is a machine's: it begins when granted, goes once the log says that it may, works, and comes back.
+func (y *yard) agent(name string, n int) {
+	went := false
+	for end := time.Now().Add(60 * time.Second); time.Now().Before(end); time.Sleep(30 * time.Millisecond) {
+		var m machines.Machine
+		if _, ok := y.put(drive.Question{About: "machine", Name: name, Fresh: true}, &m, n); !ok {
+			continue
+		}
+		if m.Work == nil {
+			if went {
+				return
+			}
+			continue
+		}
+		o := maintenance.Order{Machine: name, Token: m.Work.Token}
+		switch m.Work.Stage {
+		case maintenance.Granted:
+			y.order(maintenance.Drain, o, n)
+		case maintenance.Draining:
+			if err, ok := y.order(maintenance.Go, o, n); err == nil && ok {
+				went = true
+				y.away(name)
+				if y.never[name] {
+					return
+				}
+			}
+		case maintenance.Out, maintenance.Overdue:
+			y.mu.Lock()
+			since, out := y.out[name]
+			y.mu.Unlock()
+			if out && y.stage.now() > since+takes+300 {
+				y.mu.Lock()
+				delete(y.out, name)
+				y.mu.Unlock()
+			} else if out {
+				continue
+			}
+			y.order(maintenance.Back, o, n)
+		}
+	}
+	y.mu.Lock()
+	y.faults = append(y.faults, name+": its agent waited in vain")
+	y.mu.Unlock()
+}
+
+// away has a machine go: what stands on it ends, and is started again when its time is over.
+func (y *yard) away(name string) {
+	y.mu.Lock()
+	y.out[name] = y.stage.now()
+	y.outs[name]++
+	y.worst = max(y.worst, len(y.out)+y.lost)
+	y.mu.Unlock()
+	on := strings.TrimPrefix(name, "m-")
+	y.stage.Do(func(w *world.World) {
+		if slices.Contains(y.boxes, on) {
+			w.Happen(script.Event{Do: "kill", On: "edge", Name: on, For: takes})
+		} else {
+			w.Happen(script.Event{Do: "restart", On: "gateway", Name: on, For: takes})
+		}
+	})
+}
+
+// done waits until all are in again, and checks that no more were out at a time than may be, and each once.
+func (y *yard) done(most int, names ...string) {
+	y.t.Helper()
+	for end := time.Now().Add(70 * time.Second); ; time.Sleep(50 * time.Millisecond) {
+		f, open := y.all(), ""
+		for _, m := range f.Machines {
+			if slices.Contains(names, m.Name) && m.Work != nil {
+				open += fmt.Sprintf(" %s %s %+v waits %v;", m.Name, m.Stage, *m.Work, m.Waits)
+			}
+		}
+		if len(f.Machines) > 0 && open == "" {
+			break
+		}
+		if time.Now().After(end) {
+			y.t.Fatalf("not in again:%s", open)
+		}
+	}
+	y.running.Wait()
+	y.mu.Lock()
+	defer y.mu.Unlock()
+	if y.worst > most {
+		y.t.Errorf("%d machines were out at a time, %d may be", y.worst, most)
+	}
+	for _, name := range names {
+		if y.outs[name] != 1 {
+			y.t.Errorf("%s went out %d times", name, y.outs[name])
+		}
+	}
+}
+
+// All machines in turn, voters and the leader among them, under load and without a fault: no more out at a time than may be, nothing sent to
+// a box that is out, no download lost.
+func TestWorkNight(t *testing.T) {
+	work(t, "  most = 2\n  drain = \"6s\"\n", func(y *yard) {
+		var all []string
+		for _, b := range y.boxes {
+			all = append(all, "m-"+b)
+		}
+		for _, g := range y.names {
+			all = append(all, "m-"+g)
+		}
+		y.asks(all...)
+		y.done(2, all...)
+		if y.worst < 2 {
+			t.Error("never two at a time, though they might")
+		}
+	})
+}
+
+// The owner of the schedule is stopped between its plan and its grant, and wakes late; meanwhile another grants. A gateway that is frozen holds
+// up a machine, which is put back and goes later; a box is lost unplanned, and takes from the same limits. The work goes on by itself.
+func TestWorkNightWithFaults(t *testing.T) {
+	work(t, "  most = 2\n  drain = \"1500ms\"\n", func(y *yard) {
+		first := y.untilJob(machines.Schedule, "owned", func(j owner.Report) bool { return j.Owner != "" })
+		old := y.number(first.Owner)
+		y.arm(old, "stop", failpoint.Scheduling, 1)
+		some := []string{"m-" + y.boxes[0], "m-" + y.boxes[1], "m-" + y.boxes[2]}
+		y.asks(some...)
+		y.met(old)
+		y.happen(script.Event{Do: "freeze", Name: y.names[old], For: 5000})
+		y.untilJob(machines.Schedule, "another owns the schedule", func(j owner.Report) bool { return j.Token > first.Token && j.Owner != first.Owner })
+		y.mu.Lock()
+		y.lost = 1
+		y.mu.Unlock()
+		y.stage.Do(func(w *world.World) {
+			w.Happen(script.Event{Do: "kill", On: "edge", Name: y.boxes[5], For: 2500})
+		})
+		y.wait("the log tells of the loss", func() bool {
+			return slices.ContainsFunc(y.all().Machines, func(m machines.Machine) bool { return m.Hurt && m.Work == nil })
+		})
+		y.mu.Lock()
+		y.lost = 0
+		y.mu.Unlock()
+		y.done(3, some...)
+		y.until("all level again", y.level)
+	})
+}
--- a/internal/rehearsal/sockets/quorum_test.go
+++ b/internal/rehearsal/sockets/quorum_test.go
@@ -53,10 +53,18 @@
 	mu    sync.Mutex
 	fate  map[int]string // failpoints, by gateway
 	logs  string
+	extra string             // for the operators' files of all
+	see   func(f world.Fact) // told of all facts as well; nil: nobody is
 }
 
 // agree plays faults against gateways that agree, as real processes; whatever they do, no download is lost for it.
 func agree(t *testing.T, change func(*script.Script), faults func(c *council)) {
+	t.Helper()
+	agreeAfter(t, change, nil, faults)
+}
+
+// agreeAfter does something to a stage before it begins as well.
+func agreeAfter(t *testing.T, change func(*script.Script), before func(c *council), faults func(c *council)) {
 	t.Helper()
 	t.Parallel()
 	stages <- true
@@ -70,22 +78,31 @@
 	}
 	audit := auditor.New(s, Slack)
 	c := &council{t: t, audit: audit, fate: map[int]string{}, logs: logsOf(t)}
-	stage, err := New(s, Options{Binary: armed, Logs: c.logs, Facts: audit.See, Operator: func(gateway int) string {
+	facts := func(f world.Fact) {
+		if audit.See(f); c.see != nil {
+			c.see(f)
+		}
+	}
+	stage, err := New(s, Options{Binary: armed, Logs: c.logs, Facts: facts, Operator: func(gateway int) string {
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		return c.fate[gateway]
+		return c.extra + c.fate[gateway]
 	}})
 	if err != nil {
 		t.Fatal(err)
 	}
 	c.stage = stage
+	for i := range s.Gateways {
+		name, _, _ := stage.world.Config(i)
+		c.names = append(c.names, name)
+	}
+	if before != nil {
+		before(c)
+	}
 	ctx, cancel := context.WithCancelCause(context.Background())
 	enough := errors.New("enough was seen")
 	ended := make(chan error, 1)
 	go func() { ended <- stage.Run(ctx) }()
-	for i := range s.Gateways {
-		stage.Do(func(w *world.World) { name, _, _ := w.Config(i); c.names = append(c.names, name) })
-	}
 	func() {
 		defer func() { // a test that fails ends its gateways as well
 			cancel(enough)
