--- a/deploy/poppymill.hcl
+++ b/deploy/poppymill.hcl
@@ -86,3 +86,27 @@
 #   warm_each    = 24      # objects of each
 #   again        = "1s"    # after which what was asked for in vain is asked for anew
 # }
+
+# Machines out for work, in an order that the gateways settle. Off unless this block stands here, beside jobs: docs/operate/maintenance.md.
+#
+# machines {
+#   version  = 1          # the highest holds for all
+#   most     = 1          # out at a time, losses counted; 0: no such limit
+#   per_club = 1
+#   per_zone = 1
+#   boxes    = 0.2        # share of all edge caches; also gateways, hubs
+#   reserve  = 0.1        # beyond a club's peak that what is left there has to carry
+#   begin    = "1m"
+#   drain    = "30s"
+#   silent   = "back"     # or "out"
+#   warm     = "1m"
+#   overdue  = 2          # times the time asked for
+#   grace    = "1s"
+#   machine "rack-7" {
+#     club     = "amber"
+#     zone     = "room-2"
+#     gateways = ["g7"]
+#     boxes    = ["edge-12", "edge-13"]
+#     carries  = 40
+#   }
+# }
