--- a/internal/quorum/drive/council.go
+++ b/internal/quorum/drive/council.go
@@ -390,6 +390,7 @@
 
 func (c *Council) reply(q Question, index uint64, err error, answer func(quorum.Frame)) {
 	r := Reply{Index: index, Report: c.node.Report(c.now())}
+	r.Report.Frames = c.peers.sent.Load()
 	if err == nil && q.About != "" {
 		var body any
 		if err = errors.New("this gateway knows of nothing of that kind"); c.part != nil {
--- a/internal/quorum/drive/peers.go
+++ b/internal/quorum/drive/peers.go
@@ -38,6 +38,7 @@
 	dialling map[string]bool
 	conns    map[net.Conn]bool
 	live     sync.WaitGroup
+	sent     atomic.Uint64 // frames
 	ctx      context.Context
 	stop     context.CancelFunc
 }
@@ -262,7 +263,9 @@
 	p.mu.Unlock()
 	if !l.post(f) {
 		never()
+		return
 	}
+	p.sent.Add(1)
 }
 
 func (p *peers) close() {
--- a/internal/quorum/report.go
+++ b/internal/quorum/report.go
@@ -20,6 +20,7 @@
 	Voters      []string       `json:"voters"`
 	Majority    bool           `json:"majority"` // as far as can be told from here
 	Open        int            `json:"open"`     // commands of its own that wait to be agreed
+	Frames      uint64         `json:"frames"`   // sent to peers since its start
 	Members     []MemberReport `json:"members"`
 }
 
--- a/internal/rehearsal/sockets/owner_test.go
+++ b/internal/rehearsal/sockets/owner_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"runtime"
 	"slices"
 	"strings"
 	"testing"
@@ -422,3 +423,58 @@
 		})
 	}
 }
+
+// What it costs that gateways agree while nothing happens, and whether one is said to be lost for it that all cores are busy: frames and
+// processor time of so many processes in ten seconds, without and with as many busy loops as there are cores. A figure, but for the losses.
+func TestIdleAgreement(t *testing.T) {
+	if os.Getenv("POPPYMILL_TEST_MEASURE") == "" {
+		t.Skip("a measurement")
+	}
+	for _, n := range []int{9, 30} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			agree(t, func(s *script.Script) {
+				s.Gateways, s.Phases[0].For, s.Phases[0].Rate = n, 200_000, 1
+			}, func(c *council) {
+				spent := func() (frames uint64, ticks float64) {
+					for i, r := range c.until("all level", c.level) {
+						frames += r.Frames
+						var a, b float64
+						text, _ := os.ReadFile(fmt.Sprintf("/proc/%d/stat", c.stage.pid(i)))
+						_, after, _ := strings.Cut(string(text), ") ")
+						fields := strings.Fields(after)
+						fmt.Sscan(fields[11], &a)
+						fmt.Sscan(fields[12], &b)
+						ticks += a + b
+					}
+					return frames, ticks
+				}
+				for _, busy := range []bool{false, true} {
+					stop := make(chan bool)
+					for range runtime.NumCPU() {
+						go func() {
+							for busy {
+								select {
+								case <-stop:
+									return
+								default:
+								}
+							}
+						}()
+					}
+					f, p := spent()
+					time.Sleep(10 * time.Second) // the time that is measured
+					g, q := spent()
+					close(stop)
+					losses := uint64(0)
+					for _, m := range c.until("all level", c.level)[0].Members {
+						losses += m.Losses
+					}
+					t.Logf("%d gateways, all cores busy %t: %.0f frames a second, %.1f ms of processor time a second each, %d losses", n, busy, float64(g-f)/10, (q-p)/float64(n), losses)
+					if losses > 0 {
+						t.Errorf("%d were said to be lost", losses)
+					}
+				}
+			})
+		})
+	}
+}
--- a/internal/rehearsal/sockets/work.go
+++ b/internal/rehearsal/sockets/work.go
@@ -109,6 +109,16 @@
 	return stopped
 }
 
+// pid is that of a gateway's process; 0: it has none.
+func (s *Stage) pid(gateway int) (pid int) {
+	s.Do(func(*world.World) {
+		if p := s.gateways[gateway]; p.cmd != nil {
+			pid = p.cmd.Process.Pid
+		}
+	})
+	return pid
+}
+
 // Gone tells whether a gateway's process has ended.
 func (s *Stage) Gone(gateway int) (gone bool) {
 	s.Do(func(*world.World) { gone = s.gateways[gateway].cmd == nil })
