--- a/cmd/poppymill/machines.go
+++ b/cmd/poppymill/machines.go
@@ -41,6 +41,7 @@
 		{Name: "back", Usage: "for a machine's agent: it is back", ArgsUsage: "ADDRESS NAME", Flags: agent, Action: machinesStep(maintenance.Back)},
 		{Name: "plan", Usage: "the schedule as it is expected, and how near each limit comes; status 1 where a deadline can't be kept", ArgsUsage: "ADDRESS", Flags: look, Action: machinesPlan},
 		{Name: "watch", Usage: "follow until nothing waits or is out", ArgsUsage: "ADDRESS", Flags: append(flags[:2:2], &cli.DurationFlag{Name: "every", Value: time.Second}), Action: machinesWatch},
+		agentCommand(),
 		{Name: "history", Usage: "requests that are over", ArgsUsage: "ADDRESS", Flags: look, Action: machinesHistory},
 	}}
 }
--- a/example/quorum/g1.hcl
+++ b/example/quorum/g1.hcl
@@ -11,3 +11,21 @@
   }
 }
 jobs {}
+machines {
+  version = 1
+  most    = 1
+  drain   = "10s"
+  warm    = "2s"
+  machine "m-edge-1" {
+    club  = "club"
+    boxes = ["edge-1"]
+  }
+  machine "m-edge-2" {
+    club  = "club"
+    boxes = ["edge-2"]
+  }
+  machine "m-g3" {
+    club     = "club"
+    gateways = ["g3"]
+  }
+}
--- a/internal/maintenance/maintenance_test.go
+++ b/internal/maintenance/maintenance_test.go
@@ -284,6 +284,25 @@
 	}
 }
 
+// A machine's agent begins its work once for a grant, however often it is started, and goes under no other.
+func TestKeeper(t *testing.T) {
+	for _, c := range []struct {
+		k    Keeper
+		w    *Work
+		want Deed
+	}{
+		{Keeper{}, nil, Wait}, {Keeper{}, &Work{Stage: Asked}, Wait}, {Keeper{}, &Work{Stage: Granted, Token: 3}, DoDrain}, {Keeper{}, &Work{Stage: Draining, Token: 3}, DoGo},
+		{Keeper{}, &Work{Stage: Out, Token: 3}, DoWork}, {Keeper{Token: 3, Phase: Begun}, &Work{Stage: Out, Token: 3}, DoReady}, {Keeper{Token: 3, Phase: Worked}, &Work{Stage: Overdue, Token: 3}, DoReady},
+		{Keeper{Token: 3, Phase: Failed}, &Work{Stage: Overdue, Token: 3}, Wait}, {Keeper{Token: 3, Phase: Failed}, &Work{Stage: Out, Token: 4}, DoWork},
+		{Keeper{Token: 3, Phase: Worked}, &Work{Stage: Out, Token: 4}, DoWork}, {Keeper{Token: 3, Phase: Worked}, &Work{Stage: Warming, Token: 3}, Wait},
+		{Keeper{Token: 3, Phase: Worked}, nil, Finished}, {Keeper{Token: 3}, nil, Wait}, {Keeper{Token: 3, Phase: Begun}, &Work{Stage: Draining, Token: 4}, DoGo},
+	} {
+		if got := c.k.Next(c.w); got != c.want {
+			t.Errorf("%+v, %+v: %v, want %v", c.k, c.w, got, c.want)
+		}
+	}
+}
+
 // An owner of the schedule that was replaced grants nothing when it wakes late.
 func TestOldSchedulerIsRefused(t *testing.T) {
 	b := begun(t, Limits{})
