The machines' agent killed amid its work does not begin it again; its state has a version

The agent on real processes: killed by its own work, started anew, it says back and begins nothing; a state of another version is refused by name.

--- a/cmd/poppymill/agent.go
+++ b/cmd/poppymill/agent.go
@@ -36,6 +36,14 @@
 		}}
 }
 
+// written is what an agent keeps over restarts.
+type written struct {
+	Version int `json:"version"`
+	maintenance.Keeper
+}
+
+const stateVersion = 1
+
 // agent is one machine's, running.
 type agent struct {
 	cmd       *cli.Command
@@ -59,9 +67,14 @@
 	case err != nil:
 		return unusable(fmt.Errorf("machines agent: --state: %w", err))
 	default:
-		if err := json.Unmarshal(text, &a.keeper); err != nil {
+		held := written{}
+		if err = json.Unmarshal(text, &held); err == nil && held.Version != stateVersion {
+			err = fmt.Errorf("version: %d, %d is read", held.Version, stateVersion)
+		}
+		if err != nil {
 			return unusable(fmt.Errorf("machines agent: --state: %s: %w", cmd.String("state"), err))
 		}
+		a.keeper = held.Keeper
 	}
 	for ctx.Err() == nil {
 		over, err := a.look(ctx)
@@ -170,7 +183,7 @@
 
 // save writes down how far it has come, whole or not at all, and synced.
 func (a *agent) save() error {
-	text, err := json.Marshal(a.keeper)
+	text, err := json.Marshal(written{stateVersion, a.keeper})
 	if err != nil {
 		return err
 	}
--- a/internal/rehearsal/sockets/machines_test.go
+++ b/internal/rehearsal/sockets/machines_test.go
@@ -1,11 +1,16 @@
 package sockets
 
 import (
+	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"os"
+	"os/exec"
 	"slices"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -335,3 +340,37 @@
 		})
 	})
 }
+
+// The agent itself, killed with -9 amid its work, as a machine is that ends by it: started anew it does not begin the work again under that
+// grant, and says that the machine is back. What it wrote down is refused where it is of another version.
+func TestAgentKilledAmidWork(t *testing.T) {
+	work(t, "  most = 1\n  drain = \"6s\"\n", func(y *yard) {
+		name, dir := "m-"+y.boxes[0], t.TempDir()
+		y.wait("the request is agreed", func() bool {
+			err, answered := y.order(maintenance.Ask, maintenance.Order{Request: &maintenance.Request{ID: "r", Machine: name, Takes: 60_000}}, 0)
+			return err == nil && answered
+		})
+		run := func() ([]byte, error) {
+			ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+			defer cancel()
+			args := append([]string{"machines", "agent", "--state", dir + "/state", "--every", "50ms", "--once", "--work", "echo begun >> " + dir + "/did; kill -9 $PPID", name},
+				y.stage.relays.listen...)
+			return exec.CommandContext(ctx, armed, args...).CombinedOutput()
+		}
+		out, err := run()
+		var exit *exec.ExitError
+		if !errors.As(err, &exit) || exit.Sys().(syscall.WaitStatus).Signal() != syscall.SIGKILL {
+			t.Fatalf("%v: %s", err, out)
+		}
+		if out, err := run(); err != nil {
+			t.Fatalf("started anew: %v: %s", err, out)
+		}
+		if text, _ := os.ReadFile(dir + "/did"); string(text) != "begun\n" {
+			t.Errorf("the work was begun as %q", text)
+		}
+		os.WriteFile(dir+"/state", []byte(`{"version":7}`), 0o600)
+		if out, err := run(); err == nil || !strings.Contains(string(out), "version: 7, 1 is read") {
+			t.Errorf("of another version: %v: %s", err, out)
+		}
+	})
+}
