Machines: peaks that the gateways measure, warm by a stated measure, and the word of a new process

Need: what is left had to carry a peak that only an operator could tell; what came back counted as warm by time alone; a gateway that was started anew while a machine drained was covered by its old process's word. Now each gateway measures what it takes and what caches held (Gauge, Load); a machine is in once more than half of its club finds its caches at 0.8 of what their like hold, else when its time is up; a new process has left nothing. Shown on processes: a hub, a gateway and a club lost amid a night, the schedule's owner stopped with its grant agreed, a gateway that is slow (both choices), requests from both sides of a cut.

--- a/cmd/poppymill/machines.go
+++ b/cmd/poppymill/machines.go
@@ -145,6 +145,12 @@
 		return err
 	}
 	fmt.Printf("gateways %v, boxes %v, hubs %v, carries %g\n", m.Gateways, m.Boxes, m.Hubs, m.Carries)
+	if m.Work != nil && m.Work.Backs > 0 {
+		fmt.Printf("put back %d times, last: %s\n", m.Work.Backs, m.Work.Before)
+	}
+	if m.Work != nil && len(m.Work.Warm) > 0 {
+		fmt.Printf("found warm by %v\n", slices.Sorted(maps.Keys(m.Work.Warm)))
+	}
 	if m.Work != nil && len(m.Work.Without) > 0 {
 		fmt.Printf("out without word from %v\n", m.Work.Without)
 	}
--- a/internal/gateway/core.go
+++ b/internal/gateway/core.go
@@ -80,6 +80,7 @@
 	boots     func(node router.Entry) // told of nodes as they are listed, where somebody fills them ahead; nil: nobody does
 	nodes     map[string]router.Entry // as they are listed
 	listed    func(there map[string]bool)
+	meter     *meter   // what machines out for work are judged by; nil: nobody asks
 	left      *leaving // nodes that it sends nothing to, whatever the list says; nil: none
 	aheads    int      // downloads of this gateway's own, so far
 	most      int      // of those open at a time
@@ -218,6 +219,7 @@
 	g.Ring(now)
 	g.pool.Watch(now)
 	g.settle()
+	g.meter.watch(now)
 	g.left.look(g)
 }
 
@@ -418,6 +420,9 @@
 	if err == nil && g.downloads[d.id] != nil {
 		err = fmt.Errorf("X-Job-Id: %s is open already", d.id)
 	}
+	if err == nil {
+		g.meter.take(e.At)
+	}
 	if err == nil && (g.open >= g.most || g.over) {
 		g.Turned++
 		e.Body.Release()
@@ -617,6 +622,9 @@
 	g.timers.remove(p.timer)
 	p.wire = nil
 	d.out--
+	if e.Status == router.Fulfilled && d.copies {
+		g.meter.pulled(g.now, p.node, e.Note)
+	}
 	if e.Status == router.Fulfilled && !d.answered {
 		g.Fulfilled++
 		if e.Keep {
--- a/internal/gateway/council.go
+++ b/internal/gateway/council.go
@@ -8,6 +8,7 @@
 
 	"poppymill/internal/failpoint"
 	"poppymill/internal/footprint"
+	"poppymill/internal/maintenance"
 	machines "poppymill/internal/maintenance/drive"
 	"poppymill/internal/owner"
 	owned "poppymill/internal/owner/drive"
@@ -44,6 +45,7 @@
 	yard := machines.Open(o.Machines, crew, corePeer{p}, log)
 	if k.council, err = drive.Open(b, c.Name, zone, peersMost(c), drive.Parts{crew, yard}, log); err == nil && o.Machines.On {
 		core.Listed(func(there map[string]bool) { k.council.Post(machines.Nodes{There: there}) })
+		core.Measure(func(l maintenance.Load) { k.council.Post(l) })
 	}
 	if err == nil && jobs.On && jobs.Limits.WarmRounds > 0 {
 		core.Boots(func(n router.Entry) {
--- a/internal/maintenance/book.go
+++ b/internal/maintenance/book.go
@@ -22,6 +22,7 @@
 	Now       float64                `cbor:"8,keyasint"`  // the newest time that a command told
 	Ended     []Ended                `cbor:"9,keyasint"`  // requests that are over, the newest last
 	Owned     uint64                 `cbor:"10,keyasint"` // the highest token under which the schedule was owned
+	Measured  map[string][24]float64 `cbor:"11,keyasint"` // peaks of each gateway, downloads a second, by hour of the day (UTC)
 }
 
 // Gateway is a member.
@@ -41,6 +42,9 @@
 	Acks    map[string]bool `cbor:"6,keyasint" json:"acks,omitempty"`
 	Without []string        `cbor:"7,keyasint" json:"without,omitempty"` // gateways without whose word it went
 	Why     string          `cbor:"8,keyasint" json:"why,omitempty"`     // it came to this stage
+	Warm    map[string]bool `cbor:"9,keyasint" json:"warm,omitempty"`    // gateways that find it warm
+	Backs   int             `cbor:"10,keyasint" json:"backs,omitempty"`  // how often it was put back before it went
+	Before  string          `cbor:"11,keyasint" json:"before,omitempty"` // why, last
 }
 
 // Ended is a request that is over.
@@ -59,7 +63,7 @@
 
 // New makes an empty book.
 func New() *Book {
-	return &Book{Works: map[string]*Work{}, Gateways: map[string]Gateway{}, Lost: map[string]bool{}, Peaks: map[string][24]float64{}}
+	return &Book{Works: map[string]*Work{}, Gateways: map[string]Gateway{}, Lost: map[string]bool{}, Peaks: map[string][24]float64{}, Measured: map[string][24]float64{}}
 }
 
 // Machine finds one by name.
@@ -76,8 +80,16 @@
 func (b *Book) Member(name string, incarnation uint64, there bool) {
 	if incarnation == 0 && !there {
 		delete(b.Gateways, name)
+		delete(b.Measured, name)
 		return
 	}
+	if b.Gateways[name].Incarnation != incarnation {
+		// Another process: what the one before it had left, this one may not have.
+		for _, w := range b.Works {
+			delete(w.Acks, name)
+			delete(w.Warm, name)
+		}
+	}
 	if len(b.Gateways) < mostNames || b.Gateways[name].Incarnation != 0 {
 		b.Gateways[name] = Gateway{Incarnation: incarnation, There: there, Since: b.Now}
 	}
@@ -111,12 +123,18 @@
 	if !slices.Contains(Steps, Step{w.Stage, to, by, kind}) {
 		return false
 	}
+	if to == Asked && w.Stage >= Granted {
+		w.Backs++
+		w.Before = why
+	}
 	w.Stage, w.Since, w.Why = to, b.Now, why
 	switch to {
 	case Asked, In:
-		w.Token, w.Acks, w.Without = 0, nil, nil
+		w.Token, w.Acks, w.Without, w.Warm = 0, nil, nil, nil
 	case Draining:
 		w.Acks = map[string]bool{}
+	case Warming:
+		w.Warm = map[string]bool{}
 	}
 	if to == In {
 		delete(b.Works, name)
@@ -156,13 +174,21 @@
 		b.Voters = slices.Clone(o.Names)
 		return nil
 	case Peak:
-		if o.Hour < 0 || o.Hour > 23 || !(o.Peak >= 0) || len(b.Peaks) >= mostMachines {
+		if o.Hour < 0 || o.Hour > 23 || !(o.Peak >= 0) || !slices.Contains(b.clubs(), o.Club) {
 			return ErrBad
 		}
 		p := b.Peaks[o.Club]
 		p[o.Hour] = o.Peak
 		b.Peaks[o.Club] = p
 		return nil
+	case Measured:
+		if o.Hour < 0 || o.Hour > 23 || !(o.Peak >= 0) || b.Gateways[o.From].Incarnation == 0 {
+			return ErrBad
+		}
+		p := b.Measured[o.From]
+		p[o.Hour] = o.Peak
+		b.Measured[o.From] = p
+		return nil
 	case Tick:
 		b.tick()
 		return nil
@@ -182,7 +208,7 @@
 	}
 	if w := b.Works[name]; w != nil {
 		c := *w
-		c.Acks, c.Without = maps.Clone(w.Acks), slices.Clone(w.Without)
+		c.Acks, c.Warm, c.Without = maps.Clone(w.Acks), maps.Clone(w.Warm), slices.Clone(w.Without)
 		return c
 	}
 	return nil
@@ -260,7 +286,7 @@
 		}
 		// One that could never go out, with nothing else out, is told at once.
 		alone := New()
-		alone.Inventory, alone.Peaks = b.Inventory, b.Peaks
+		alone.Inventory, alone.Peaks, alone.Measured = b.Inventory, b.Peaks, b.Measured
 		if why := alone.tally().fits(m, max(b.Now, r.NotBefore), max(b.Now, r.NotBefore)+r.Takes); why != "" {
 			return Refused{why}
 		}
@@ -303,7 +329,7 @@
 func (b *Book) step(kind string, o Order, w *Work) error {
 	m := b.Machine(o.Machine)
 	switch kind {
-	case Drain, Ack, Go, Back:
+	case Drain, Ack, Go, Back, Warm:
 		if o.Token == 0 || o.Token != w.Token {
 			return ErrOld // withdrawn, or of another time: it does not go out on it
 		}
@@ -355,7 +381,14 @@
 		}
 	case Back:
 		ok = b.move(o.Machine, w, Warming, Agent, Back, "it is back")
+	case Warm:
+		if w.Stage == Warming && o.From != "" && len(w.Warm) < mostNames {
+			w.Warm[o.From], ok = true, true
+		}
 	case Warmed:
+		if w.Stage == Warming && !b.WarmBy(m, w) {
+			return ErrCold
+		}
 		if r := w.Request; b.move(o.Machine, w, In, Scheduler, Warmed, "warm") {
 			b.end(&Work{Request: r}, "done")
 			return nil
@@ -422,6 +455,14 @@
 		if n.Works == nil || n.Gateways == nil || n.Lost == nil || n.Peaks == nil {
 			return fmt.Errorf("machines: %w", ErrBad)
 		}
+		for _, w := range n.Works { // of a program that did not know of it yet
+			switch {
+			case w.Stage == Draining && w.Acks == nil:
+				w.Acks = map[string]bool{}
+			case w.Stage == Warming && w.Warm == nil:
+				w.Warm = map[string]bool{}
+			}
+		}
 	}
 	*b = *n
 	return nil
--- a/internal/maintenance/door.go
+++ b/internal/maintenance/door.go
@@ -34,6 +34,8 @@
 	Warm     float64 `cbor:"11,keyasint" json:"warm_ms"`  // after which a machine that is back counts as warm at the latest
 	Overdue  float64 `cbor:"12,keyasint" json:"overdue"`  // multiple of the time asked for after which one that is out is overdue
 	Grace    float64 `cbor:"13,keyasint" json:"grace_ms"` // past the loss of a gateway, after which nothing of it is on its way any more
+	// Of what the caches of its club hold, the share that a cache which is back has to hold to count as warm; 0: its time alone decides.
+	WarmShare float64 `cbor:"14,keyasint" json:"warm_share"`
 }
 
 // Silence is what becomes of a machine that one gateway holds up.
@@ -138,10 +140,12 @@
 	Ack      = "ack"       // Order: machine, token, from: that gateway sends nothing more there and has nothing open
 	Go       = "go"        // Order: machine, token: it may go once this is agreed, and not before
 	Back     = "back"      // Order: machine, token: it is back, with all that stands on it
-	Warmed   = "warmed"    // Order: machine: it is what it was
+	Warm     = "warm"      // Order: machine, token, from: that gateway finds that it serves as its like do
+	Warmed   = "warmed"    // Order: machine: it is what it was, by the word of its club
 	Lost     = "lost"      // Order: names of boxes and hubs that are gone, or drained by the list; all of them
 	Votes    = "votes"     // Order: names of the gateways that vote
-	Peak     = "peak"      // Order: club, hour, peak
+	Peak     = "peak"      // Order: club, hour, peak: an operator's word, which goes before what was measured; 0 takes it back
+	Measured = "measured"  // Order: from, hour, peak: what that gateway measured
 	Tick     = "tick"      // Order: at
 )
 
@@ -168,6 +172,7 @@
 	ErrStage   = errors.New("not at this stage")
 	ErrOld     = errors.New("that grant does not stand")
 	ErrWaits   = errors.New("some gateway is not done with it")
+	ErrCold    = errors.New("its club does not find it warm yet")
 	ErrFull    = errors.New("too many of them")
 	ErrOut     = errors.New("a machine that is not in is missing from it")
 	ErrPast    = errors.New("by: in the past, or too soon for the time that it takes")
--- a/internal/maintenance/drive/block.go
+++ b/internal/maintenance/drive/block.go
@@ -17,7 +17,7 @@
 // Fields are those of the block machines.
 func (b *Block) Fields() []operator.Field {
 	b.On = true
-	b.Inventory = maintenance.Inventory{Version: 1, Limits: maintenance.Limits{Most: 1, Begin: 60_000, Drain: 30_000, Warm: 60_000, Overdue: 2, Grace: 1000}}
+	b.Inventory = maintenance.Inventory{Version: 1, Limits: maintenance.Limits{Most: 1, Begin: 60_000, Drain: 30_000, Warm: 60_000, Overdue: 2, Grace: 1000, WarmShare: 0.8}}
 	l := &b.Inventory.Limits
 	silent := "back"
 	return []operator.Field{
@@ -27,7 +27,7 @@
 		operator.Attr("gateways", operator.Share(&l.Gateways)), operator.Attr("boxes", operator.Share(&l.Boxes)), operator.Attr("hubs", operator.Share(&l.Hubs)),
 		operator.Attr("reserve", operator.Number(&l.Reserve, 0, 10)),
 		operator.Attr("begin", operator.Span(&l.Begin, time.Second, 24*time.Hour)), operator.Attr("drain", operator.Span(&l.Drain, 100*time.Millisecond, 24*time.Hour)),
-		operator.Attr("warm", operator.Span(&l.Warm, 0, 24*time.Hour)), operator.Attr("grace", operator.Span(&l.Grace, 0, time.Hour)),
+		operator.Attr("warm", operator.Span(&l.Warm, 0, 24*time.Hour)), operator.Attr("warm_share", operator.Share(&l.WarmShare)), operator.Attr("grace", operator.Span(&l.Grace, 0, time.Hour)),
 		operator.Attr("overdue", operator.Number(&l.Overdue, 1, 100)),
 		operator.Attr("silent", operator.OneOf(&silent, "back", "out")),
 		operator.Block("machine", []string{"name"}, func(labels []string, _ int) ([]operator.Field, error) {
--- a/internal/maintenance/drive/yard.go
+++ b/internal/maintenance/drive/yard.go
@@ -64,7 +64,9 @@
 	clear   int                // the number up to which nothing is open there
 	clears  map[string]uint64  // machines that this gateway has left, with the token of their grant
 	there   map[string]bool    // nodes, by this gateway's list; nil: it has none
-	told    map[string]string  // the last stage of each machine that a line told of
+	load    maintenance.Load   // what this gateway measured last
+	gauge   maintenance.Gauge
+	told    map[string]string // the last stage of each machine that a line told of
 	unix    func() float64
 	news    bool
 }
@@ -119,6 +121,13 @@
 		}
 		y.tell()
 		y.news = true
+	case maintenance.Load:
+		y.load = e
+		if y.stand.Incarnation != 0 && y.block.On {
+			if o := y.gauge.See(y.unix(), e, y.book, y.stand.Name); o != nil {
+				y.propose(maintenance.Measured, "", o)
+			}
+		}
 	case Nodes:
 		y.there, y.news = e.There, true
 	case left:
@@ -179,14 +188,14 @@
 	}
 }
 
-// acknowledge says to the log of each machine that drains that this gateway has left it.
+// acknowledge says to the log of each machine that drains that this gateway has left it, and of each that is back that it is warm.
 func (y *Yard) acknowledge() {
-	if y.clear < y.number {
-		return
-	}
 	for _, name := range slices.Sorted(maps.Keys(y.book.Works)) {
 		w, m := y.book.Works[name], y.book.Machine(name)
-		if m != nil && w.Stage == maintenance.Draining && !w.Acks[y.stand.Name] && !slices.Contains(m.Gateways, y.stand.Name) {
+		if m != nil && w.Stage == maintenance.Warming && !w.Warm[y.stand.Name] && y.book.Warm(m, y.load) {
+			y.propose(maintenance.Warm, name, maintenance.Order{At: y.unix(), Machine: name, Token: w.Token, From: y.stand.Name})
+		}
+		if y.clear == y.number && m != nil && w.Stage == maintenance.Draining && !w.Acks[y.stand.Name] && !slices.Contains(m.Gateways, y.stand.Name) {
 			y.propose(maintenance.Ack, name, maintenance.Order{At: y.unix(), Machine: name, Token: w.Token, From: y.stand.Name})
 		}
 	}
@@ -239,6 +248,11 @@
 	if len(y.book.Works) == 0 {
 		return
 	}
+	for _, name := range slices.Sorted(maps.Keys(y.book.Works)) {
+		if m := y.book.Machine(name); m != nil && y.book.WarmBy(m, y.book.Works[name]) {
+			y.propose(maintenance.Warmed, name, maintenance.Order{At: y.unix(), Machine: name, Owned: token})
+		}
+	}
 	for _, s := range y.book.Plan() {
 		if w := y.book.Works[s.Machine]; !s.Never && s.Start <= y.book.Now && w != nil && w.Stage == maintenance.Asked {
 			failpoint.Here(failpoint.Scheduling)
--- a/internal/maintenance/limits.go
+++ b/internal/maintenance/limits.go
@@ -17,6 +17,7 @@
 	all                   [3]int    // of all gateways, boxes, hubs
 	near                  []int     // gateways of each club that are there
 	carried               []float64 // by each club
+	peaks                 [][24]float64
 }
 
 // spot is where a machine counts.
@@ -57,6 +58,7 @@
 		}
 	}
 	n := len(t.names)
+	t.peaks = make([][24]float64, n)
 	t.clubs, t.zones, t.near, t.carried = make([]int, n), make([]int, n), make([]int, n), make([]float64, n)
 	for i := range b.Inventory.Machines {
 		m := &b.Inventory.Machines[i]
@@ -66,6 +68,20 @@
 		t.all[2] += len(m.Hubs)
 		t.near[c] += len(m.Gateways)
 		t.carried[c] += m.Carries
+		for _, g := range m.Gateways {
+			for h, p := range b.Measured[g] {
+				t.peaks[c][h] += p
+			}
+		}
+	}
+	for club, hours := range b.Peaks {
+		if c, known := t.index["c"+club]; known {
+			for h, p := range hours {
+				if p > 0 {
+					t.peaks[c][h] = p // an operator's word goes before what was measured
+				}
+			}
+		}
 	}
 	for i := range b.Inventory.Machines {
 		if m := &b.Inventory.Machines[i]; b.gone(m) {
@@ -79,14 +95,10 @@
 const hour = 3_600_000.0
 
 // peak is the highest of a club's in the hours between two times.
-func (b *Book) peak(club string, from, until float64) (most float64) {
-	hours, known := b.Peaks[club]
-	if !known {
-		return 0
-	}
+func (t *tally) peak(club int, from, until float64) (most float64) {
 	first := math.Floor(from / hour)
 	for h := first; h <= min(math.Floor(until/hour), first+23); h++ {
-		most = max(most, hours[int(math.Mod(h, 24))])
+		most = max(most, t.peaks[club][int(math.Mod(h, 24))])
 	}
 	return most
 }
@@ -179,7 +191,8 @@
 
 // fits tells whether a machine may be out beside what is, between two times; else the limit that prevents it.
 func (t *tally) fits(m *Machine, from, until float64) string {
-	at, peak := t.spot(m), t.b.peak(m.Club, from, until)
+	at := t.spot(m)
+	peak := t.peak(at.club, from, until)
 	return t.words(t.check(m, at, peak), m, at, peak)
 }
 
--- a/internal/maintenance/maintenance_test.go
+++ b/internal/maintenance/maintenance_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"testing"
@@ -116,7 +117,9 @@
 			now += float64(rapid.IntRange(0, 30).Draw(t, "ms"))
 			before := map[string]Work{}
 			for name, w := range b.Works {
-				before[name] = *w
+				c := *w
+				c.Acks, c.Warm = maps.Clone(w.Acks), maps.Clone(w.Warm)
+				before[name] = c
 			}
 			outBefore, _ := counted(b)
 			name := rapid.SampledFrom(names).Draw(t, "machine")
@@ -124,11 +127,11 @@
 			if w := b.Works[name]; w != nil && rapid.Bool().Draw(t, "right") {
 				o.Token = w.Token
 			}
-			kind := rapid.SampledFrom([]string{Ask, Ask, Grant, Grant, Grant, Drain, Drain, Ack, Ack, Ack, Go, Go, Back, Warmed, Withdraw, Cancel, Tick, Lost, "member", "on", "on", "on", "on", "on", "on", "on", "on", "on", "on"}).Draw(t, "deed")
+			kind := rapid.SampledFrom([]string{Ask, Ask, Grant, Grant, Grant, Drain, Drain, Ack, Ack, Ack, Go, Go, Back, Warm, Warmed, Withdraw, Cancel, Tick, Lost, "member", "on", "on", "on", "on", "on", "on", "on", "on", "on", "on"}).Draw(t, "deed")
 			if kind == "on" { // the next step of that machine's way
 				w := b.Works[name]
 				if kind = Ask; w != nil {
-					kind = [...]string{Ask, Grant, Drain, Ack, Back, Back, Warmed}[w.Stage]
+					kind = [...]string{Ask, Grant, Drain, Ack, Back, Back, rapid.SampledFrom([]string{Warm, Warm, Warmed}).Draw(t, "warm")}[w.Stage]
 					o.Token = w.Token
 					if w.Stage == Draining && len(b.Waits(w, b.Machine(name))) == 0 {
 						kind = Go
@@ -140,7 +143,7 @@
 				o.Request = &Request{ID: "r" + name + fmt.Sprint(n/40), Machine: name, Takes: 60}
 			case Cancel:
 				o.ID = "r" + name + fmt.Sprint(n/40)
-			case Ack:
+			case Ack, Warm:
 				o.From = rapid.SampledFrom(gateways).Draw(t, "from")
 				if w := b.Works[name]; w != nil && w.Stage == Draining && rapid.Bool().Draw(t, "one that is waited for") {
 					if waits := b.Waits(w, b.Machine(name)); len(waits) > 0 {
@@ -197,6 +200,19 @@
 			}
 			last = b.Last
 			for name, old := range before {
+				if b.Works[name] == nil && kind == Warmed { // by the word of more than half of those of its club that are there
+					there, say := 0, 0
+					for _, g := range gateways {
+						if strings.HasSuffix(g, b.Machine(name).Club) && b.Gateways[g].There {
+							if there++; old.Warm[g] {
+								say++
+							}
+						}
+					}
+					if 2*say <= there {
+						t.Fatalf("%d: %s is in by the word of %d of %d", n, name, say, there)
+					}
+				}
 				if b.Works[name] == nil && !slices.ContainsFunc(Steps, func(s Step) bool { return s.From == old.Stage && s.To == In }) {
 					t.Fatalf("%d: %s brings %s in from %v", n, kind, name, old.Stage)
 				}
--- a/internal/maintenance/plan.go
+++ b/internal/maintenance/plan.go
@@ -91,7 +91,7 @@
 					next = min(next, x.w.Request.NotBefore)
 					continue
 				}
-				peak := b.peak(x.m.Club, now, now+x.whole)
+				peak := t.peak(x.at.club, now, now+x.whole)
 				switch {
 				case x.hurt:
 					x.limit = hurts
--- a/internal/maintenance/report.go
+++ b/internal/maintenance/report.go
@@ -49,9 +49,9 @@
 			near[name] = [2]float64{x[1], x[0] * x[2]}
 		}
 	}
-	for club := range b.Peaks {
-		if i, known := t.index["c"+club]; known {
-			near["reserve "+club] = [2]float64{b.peak(club, b.Now, b.Now) * (1 + l.Reserve), t.carried[i]}
+	for _, club := range b.clubs() {
+		if peak := t.peak(t.index["c"+club], b.Now, b.Now); peak > 0 {
+			near["reserve "+club] = [2]float64{peak * (1 + l.Reserve), t.carried[t.index["c"+club]]}
 		}
 	}
 	return near
--- a/internal/rehearsal/sockets/machines_test.go
+++ b/internal/rehearsal/sockets/machines_test.go
@@ -35,7 +35,10 @@
 	lost    int                // gone unplanned
 	outs    map[string]int
 	faults  []string
-	never   map[string]bool // agents that do not come back
+	never   map[string]bool   // agents that do not come back
+	club    map[string]string // of gateways, boxes and hubs
+	hubs    []string
+	shut    float64 // from when on nothing may go, as too much is lost; 0: it may
 	started map[int]float64
 	running sync.WaitGroup
 }
@@ -46,34 +49,48 @@
 )
 
 // work plays a work night: five gateways, six boxes, each on a machine of its own; two may be out at a time.
-func work(t *testing.T, limits string, faults func(y *yard)) {
-	y := &yard{out: map[string]float64{}, outs: map[string]int{}, never: map[string]bool{}, started: map[int]float64{}}
+func work(t *testing.T, limits string, faults func(y *yard)) { workAt(t, nil, limits, faults) }
+
+// workAt is the same at another site.
+func workAt(t *testing.T, change func(*script.Script), limits string, faults func(y *yard)) {
+	y := &yard{club: map[string]string{}, out: map[string]float64{}, outs: map[string]int{}, never: map[string]bool{}, started: map[int]float64{}}
 	agreeAfter(t, func(s *script.Script) {
 		s.Box.Count, s.Quorum.Replace, s.Phases[0].For = 6, 2000, 200_000
+		if change != nil {
+			change(s)
+		}
 	}, func(c *council) {
 		y.council = c
 		_, events := c.stage.world.Known()
 		for _, e := range events {
 			if nodes, ok := e["nodes"].(map[string]any); ok {
 				for _, p := range nodes["endpoints"].([]any) {
-					if p := p.(map[string]any); p["type"] == "box" {
-						y.boxes = append(y.boxes, p["name"].(string))
+					p := p.(map[string]any)
+					name := p["name"].(string)
+					switch y.club[name] = p["zone"].(string); p["type"] {
+					case "box":
+						y.boxes = append(y.boxes, name)
+					case "hub":
+						y.hubs = append(y.hubs, name)
 					}
 				}
 			}
 		}
 		c.extra = "machines {\n  version = 1\n  begin = \"20s\"\n  warm = \"300ms\"\n  grace = \"500ms\"\n" + limits
-		for _, g := range c.names {
-			c.extra += fmt.Sprintf("  machine %q {\n    club = \"club\"\n    gateways = [%q]\n  }\n", "m-"+g, g)
+		for i, g := range c.names {
+			_, _, settings := c.stage.world.Config(i)
+			y.club[g] = settings["zone"].(string)
 		}
-		for _, b := range y.boxes {
-			c.extra += fmt.Sprintf("  machine %q {\n    club = \"club\"\n    boxes = [%q]\n  }\n", "m-"+b, b)
+		for what, names := range map[string][]string{"gateways": c.names, "boxes": y.boxes, "hubs": y.hubs} {
+			for _, x := range names {
+				c.extra += fmt.Sprintf("  machine %q {\n    club = %q\n    %s = [%q]\n  }\n", "m-"+x, y.club[x], what, x)
+			}
 		}
 		c.extra += "}\n"
 		c.see = y.see
 	}, func(c *council) {
 		c.until("all level", c.level)
-		c.wait("the machines are known", func() bool { return len(y.all().Machines) == len(c.names)+len(y.boxes) })
+		c.wait("the machines are known", func() bool { return len(y.all().Machines) == len(c.names)+len(y.boxes)+len(y.hubs) })
 		faults(y)
 		y.mu.Lock()
 		defer y.mu.Unlock()
@@ -196,11 +213,16 @@
 	y.out[name] = y.stage.now()
 	y.outs[name]++
 	y.worst = max(y.worst, len(y.out)+y.lost)
+	if y.shut > 0 && y.out[name] > y.shut+1500 { // what was agreed before may still be on its way to its agent
+		y.faults = append(y.faults, fmt.Sprintf("%s goes %.0f ms after the log told that too much was lost", name, y.out[name]-y.shut))
+	}
 	y.mu.Unlock()
 	on := strings.TrimPrefix(name, "m-")
 	y.stage.Do(func(w *world.World) {
 		if slices.Contains(y.boxes, on) {
 			w.Happen(script.Event{Do: "kill", On: "edge", Name: on, For: takes})
+		} else if slices.Contains(y.hubs, on) {
+			w.Happen(script.Event{Do: "kill", On: "hub", Name: on, For: takes})
 		} else {
 			w.Happen(script.Event{Do: "restart", On: "gateway", Name: on, For: takes})
 		}
@@ -260,13 +282,20 @@
 	})
 }
 
-// The owner of the schedule is stopped between its plan and its grant, and wakes late; meanwhile another grants. A gateway that is frozen holds
-// up a machine, which is put back and goes later; a box is lost unplanned, and takes from the same limits. The work goes on by itself.
+// The owner of the schedule is stopped between its plan and its grant, or once its grant is agreed and nobody was told, and wakes late;
+// meanwhile another grants. A gateway that is frozen holds up a machine, which is put back and goes later; a box is lost unplanned, and takes
+// from the same limits. The work goes on by itself.
 func TestWorkNightWithFaults(t *testing.T) {
+	for _, where := range []string{failpoint.Scheduling, failpoint.Agreed} {
+		t.Run(where, func(t *testing.T) { scheduleFrozen(t, where) })
+	}
+}
+
+func scheduleFrozen(t *testing.T, where string) {
 	work(t, "  most = 2\n  drain = \"1500ms\"\n", func(y *yard) {
 		first := y.untilJob(machines.Schedule, "owned", func(j owner.Report) bool { return j.Owner != "" })
 		old := y.number(first.Owner)
-		y.arm(old, "stop", failpoint.Scheduling, 1)
+		y.arm(old, "stop", where, 1)
 		some := []string{"m-" + y.boxes[0], "m-" + y.boxes[1], "m-" + y.boxes[2]}
 		y.asks(some...)
 		y.met(old)
--- a/internal/rehearsal/sockets/owner_test.go
+++ b/internal/rehearsal/sockets/owner_test.go
@@ -485,7 +485,7 @@
 						}
 					}
 					at := time.Now()
-					c.happen(script.Event{Do: do, Name: j.Owner, For: 2500})
+					c.happen(script.Event{Do: do, Name: j.Owner, For: 5000}) // longer than an election and a lease, else nobody is lost
 					for c.job(name).Token == j.Token {
 						time.Sleep(2 * time.Millisecond)
 					}
