--- a/internal/maintenance/measure_test.go
+++ b/internal/maintenance/measure_test.go
@@ -40,6 +40,53 @@
 	}
 }
 
+// A machine that is back is in by the word of more than half of its club's gateways that are there, under the grant that stands, and not while
+// something on it is lost.
+func TestWarmByItsClub(t *testing.T) {
+	b := begun(t, Limits{Most: 1, Begin: 1000, Drain: 500, Warm: 60_000, Overdue: 2, Grace: 100, Silent: GoOut})
+	say := func(at float64, kind, from string, token uint64) any {
+		return b.give(t, kind, Order{At: at, Machine: "amber-2", From: from, Token: token})
+	}
+	b.give(t, Ask, Order{At: 10, Request: &Request{ID: "a", Machine: "amber-2", Takes: 1000}})
+	for i, kind := range []string{Grant, Drain} {
+		say(float64(20+i), kind, "", 1)
+	}
+	for _, g := range []string{"g1amber", "g2amber", "g1birch", "g2birch"} {
+		say(30, Ack, g, 1)
+	}
+	if r := say(35, Warm, "g1amber", 1); r != ErrStage {
+		t.Errorf("warm before it went: %v", r)
+	}
+	say(40, Go, "", 1)
+	say(50, Back, "", 1)
+	for i, c := range []struct {
+		kind, from string
+		token      uint64
+		want       any
+	}{
+		{Warmed, "", 0, ErrCold},
+		{Warm, "g1birch", 1, nil}, // another club's
+		{Warm, "g1amber", 7, ErrOld},
+		{Warm, "g1amber", 1, nil},
+		{Warmed, "", 0, ErrCold}, // one of two
+		{Warm, "g1amber", 1, nil},
+		{Warmed, "", 0, ErrCold}, // twice is once
+		{Warm, "g2amber", 1, nil},
+	} {
+		if r, is := say(60, c.kind, c.from, c.token).(error); is != (c.want != nil) || is && r != c.want {
+			t.Fatalf("%d: %s by %s: %v, want %v", i, c.kind, c.from, r, c.want)
+		}
+	}
+	b.give(t, Lost, Order{At: 70, Names: []string{"e3amber"}})
+	if r := say(70, Warmed, "", 0); r != ErrCold {
+		t.Errorf("in with a cache lost: %v", r)
+	}
+	b.give(t, Lost, Order{At: 70})
+	if say(80, Warmed, "", 0); b.Works["amber-2"] != nil || len(b.Ended) != 1 {
+		t.Errorf("not in: %+v, %+v", b.Works["amber-2"], b.Ended)
+	}
+}
+
 // A gateway that is started anew while a machine drains has not left it yet, whatever the process before it said.
 func TestNewProcessHasLeftNothing(t *testing.T) {
 	b := begun(t, Limits{Most: 1, Begin: 1000, Drain: 500, Warm: 300, Overdue: 2, Grace: 100})
@@ -88,6 +135,16 @@
 	if told > 48+2*24+lost {
 		t.Errorf("the log was told %d times", told)
 	}
+	// One that begins anew late in an hour, and measures little of it, takes nothing of the day before away.
+	anew, known := Gauge{}, b.Measured["g1amber"][10]
+	for at := 102*day + 10*hour + 50*60_000; at < 102*day+11*hour+120_000; at += 10_000 {
+		if o := anew.See(at, Load{Rate: 1}, b, "g1amber"); o != nil {
+			b.give(t, Measured, *o)
+		}
+	}
+	if got := b.Measured["g1amber"][10]; got != known {
+		t.Errorf("ten minutes of little took the place of %v: %v", known, got)
+	}
 	if r := b.give(t, Measured, Order{From: "nobody", Peak: 1}); r != ErrBad {
 		t.Errorf("of nobody: %v", r)
 	}
--- /dev/null
+++ b/internal/rehearsal/virtual/night_test.go
@@ -0,0 +1,185 @@
+package virtual
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"os"
+	"slices"
+	"testing"
+
+	"poppymill/internal/canon"
+	"poppymill/internal/chance"
+	"poppymill/internal/maintenance"
+	"poppymill/internal/rehearsal/script"
+	"poppymill/internal/rehearsal/world"
+)
+
+// Of a night: how long a cache drains, is away, and counts as out after that, and one that is lost unplanned; ms.
+const (
+	nightDrains = 1000.0
+	nightTakes  = 6000.0
+	nightWarms  = 12_000.0
+	nightBegins = 25_000.0
+	lossAt      = 40_000.0
+	lossFor     = 30_000.0
+)
+
+// night is when each cache goes, by the rules of package maintenance: order names whom of those that wait to try first, and the book
+// refuses whoever may not go.
+func night(boxes, clubs []string, limits maintenance.Limits, lost string, order func(*maintenance.Book) []string) (goes map[string]float64, ends float64) {
+	b := maintenance.New()
+	inventory := maintenance.Inventory{Version: 1, Limits: limits}
+	for i, name := range boxes {
+		inventory.Machines = append(inventory.Machines, maintenance.Machine{Name: name, Club: clubs[i], Boxes: []string{name}, Carries: 1})
+	}
+	give := func(kind string, content any) any { return b.Apply(1, kind, canon.Encode(content)) }
+	give(maintenance.Have, inventory)
+	for _, name := range boxes {
+		give(maintenance.Ask, maintenance.Order{At: nightBegins, Request: &maintenance.Request{ID: name, Machine: name, Takes: nightTakes}})
+	}
+	goes = map[string]float64{}
+	for now := nightBegins; len(b.Works) > 0 && now < 1e6; now += 100 {
+		ends = now
+		if lost != "" && (now == lossAt || now == lossAt+lossFor) {
+			names := []string{}
+			if now == lossAt {
+				names = append(names, lost)
+			}
+			give(maintenance.Lost, maintenance.Order{At: now, Names: names})
+		}
+		give(maintenance.Tick, maintenance.Order{At: now})
+		for _, name := range order(b) {
+			give(maintenance.Grant, maintenance.Order{At: now, Machine: name})
+		}
+		for name, w := range b.Works {
+			o := maintenance.Order{At: now, Machine: name, Token: w.Token}
+			switch {
+			case w.Stage == maintenance.Granted:
+				give(maintenance.Drain, o)
+			case w.Stage == maintenance.Draining && now >= w.Since+nightDrains:
+				if give(maintenance.Go, o); b.Works[name].Stage == maintenance.Out {
+					goes[name] = now
+				}
+			case w.Stage == maintenance.Out && now >= w.Since+nightTakes:
+				give(maintenance.Back, o)
+			}
+		}
+	}
+	return goes, ends
+}
+
+// What a work night costs downloads, by the order in which caches go: measured where POPPYMILL_TEST_MEASURE is set, on one script and seed
+// each. Figures for docs/quality.md; a rule that is broken is a verdict all the same.
+func TestWorkNightOrders(t *testing.T) {
+	if os.Getenv("POPPYMILL_TEST_MEASURE") == "" {
+		t.Skip("a measurement")
+	}
+	limits := maintenance.Limits{Most: 2, PerClub: 1, Drain: 10_000, Warm: nightWarms, Overdue: 10, Grace: 100}
+	short := limits
+	short.Warm = 0
+	waiting := func(b *maintenance.Book) (all []string) {
+		for _, name := range slices.Sorted(maps.Keys(b.Works)) {
+			if b.Works[name].Stage == maintenance.Asked {
+				all = append(all, name)
+			}
+		}
+		return all
+	}
+	planned := func(b *maintenance.Book) (all []string) {
+		for _, s := range b.Plan() {
+			if !s.Never && s.Start <= b.Now {
+				all = append(all, s.Machine)
+			}
+		}
+		return all
+	}
+	for _, loss := range []bool{false, true} {
+		for _, how := range []string{"no work", "planned", "planned, and in again at once", "one after another", "random within the limits", "all of a club at once"} {
+			var inTime, throttled, asked, core, worst, took float64
+			const seeds = 4
+			for seed := range uint64(seeds) {
+				s, err := script.Load("../../../deploy/rehearsals/rolling-deploy.hcl")
+				if err != nil {
+					t.Fatal(err)
+				}
+				s.Seed = int(seed) + 3
+				s.Events = nil
+				var boxes, clubs []string
+				_, events := world.New(s, world.Options{}).Known()
+				for _, e := range events {
+					if nodes, ok := e["nodes"].(map[string]any); ok {
+						for _, p := range nodes["endpoints"].([]any) {
+							if p := p.(map[string]any); p["type"] == "box" {
+								boxes, clubs = append(boxes, p["name"].(string)), append(clubs, p["zone"].(string))
+							}
+						}
+					}
+				}
+				lost, c := "", chance.Chance(seed*2+1)
+				if loss {
+					lost = boxes[len(boxes)-1]
+				}
+				goes, ends := map[string]float64{}, nightBegins
+				switch how {
+				case "planned":
+					goes, ends = night(boxes, clubs, limits, lost, planned)
+				case "planned, and in again at once":
+					goes, ends = night(boxes, clubs, short, lost, planned)
+				case "one after another":
+					one := limits
+					one.Most = 1
+					if lost != "" {
+						one.Most = 2 // it knows nothing of losses
+					}
+					goes, ends = night(boxes, clubs, one, lost, func(b *maintenance.Book) []string {
+						if w := waiting(b); len(w) == len(b.Works) && len(w) > 0 {
+							return w[:1]
+						}
+						return nil
+					})
+				case "random within the limits":
+					goes, ends = night(boxes, clubs, limits, lost, func(b *maintenance.Book) []string {
+						w := waiting(b)
+						slices.SortFunc(w, func(x, y string) int { return cmp.Compare(c.Below(), 0.5) })
+						return w
+					})
+				case "all of a club at once":
+					for i, b := range boxes {
+						if goes[b] = nightBegins; clubs[i] != clubs[0] {
+							goes[b] += nightTakes + nightWarms
+						}
+					}
+					ends = nightBegins + 2*(nightTakes+nightWarms)
+				}
+				took += (ends - nightBegins) / 1000 / seeds
+				const until = nightBegins + 200_000
+				s.Phases = []script.Phase{{Name: "before", For: nightBegins, Rate: 150}}
+				for at := nightBegins; at < until; at += 10_000 {
+					s.Phases = append(s.Phases, script.Phase{Name: fmt.Sprint("n", at), From: at, For: 10_000, Rate: 150})
+				}
+				for _, name := range slices.Sorted(maps.Keys(goes)) {
+					s.Events = append(s.Events, script.Event{Do: "drain", Times: 1, On: "edge", Name: name, At: goes[name] - nightDrains, For: nightDrains + nightTakes, Number: len(s.Events)},
+						script.Event{Do: "kill", Times: 1, On: "edge", Name: name, At: goes[name], For: nightTakes, Number: len(s.Events) + 1})
+				}
+				if lost != "" {
+					s.Events = append(s.Events, script.Event{Do: "kill", Times: 1, On: "edge", Name: lost, At: lossAt, For: lossFor, Number: len(s.Events)})
+				}
+				r, audit, _ := play(t, s, Tamper{})
+				if !r.Outcome.Holds {
+					t.Errorf("%s, seed %d: %+v", how, s.Seed, audit.Found)
+				}
+				low := 1.0
+				for _, p := range r.Figures.Phases[1:] {
+					inTime += float64(p.InTime)
+					throttled += float64(p.Throttled)
+					asked += float64(p.Asked)
+					core += float64(p.Core)
+					low = min(low, float64(p.InTime)/float64(p.Asked))
+				}
+				worst += low / seeds
+			}
+			t.Logf("loss %t, %s: %.1f s, in time %.4f, worst ten seconds %.3f, throttled %.4f, core requests %.0f", loss, how, took, inTime/asked, worst, throttled/asked, core/seeds)
+		}
+	}
+}
