--- a/deploy/poppymill.hcl
+++ b/deploy/poppymill.hcl
@@ -99,7 +99,8 @@
 #   begin    = "1m"
 #   drain    = "30s"
 #   silent   = "back"     # or "out"
-#   warm     = "1m"
+#   warm     = "1m"       # after which what is back counts as warm at the latest
+#   warm_share = 0.8      # of what its like hold, when it counts as warm before that; 0: by its time alone
 #   overdue  = 2          # times the time asked for
 #   grace    = "1s"
 #   machine "rack-7" {
@@ -107,6 +108,6 @@
 #     zone     = "room-2"
 #     gateways = ["g7"]
 #     boxes    = ["edge-12", "edge-13"]
-#     carries  = 40
+#     carries  = 40       # downloads a second, of its club's peak
 #   }
 # }
--- a/internal/maintenance/drive/yard.go
+++ b/internal/maintenance/drive/yard.go
@@ -58,6 +58,7 @@
 	now     float64
 	next    float64
 	ticked  float64
+	planAt  float64            // when it may work out the plan again: a large one must not take up the council's loop
 	open    map[string]float64 // commands that are on their way, until they may go out again
 	left    []string           // nodes that the core was told to leave
 	number  int                // how often it was told
@@ -253,7 +254,13 @@
 			y.propose(maintenance.Warmed, name, maintenance.Order{At: y.unix(), Machine: name, Owned: token})
 		}
 	}
-	for _, s := range y.book.Plan() {
+	if y.now < y.planAt {
+		return
+	}
+	begun := time.Now()
+	plan := y.book.Plan()
+	y.planAt = y.now + 10*float64(time.Since(begun))/float64(time.Millisecond)
+	for _, s := range plan {
 		if w := y.book.Works[s.Machine]; !s.Never && s.Start <= y.book.Now && w != nil && w.Stage == maintenance.Asked {
 			failpoint.Here(failpoint.Scheduling)
 			y.propose(maintenance.Grant, s.Machine, maintenance.Order{At: y.unix(), Machine: s.Machine, Owned: token})
--- a/internal/rehearsal/sockets/machines_test.go
+++ b/internal/rehearsal/sockets/machines_test.go
@@ -38,7 +38,8 @@
 	never   map[string]bool   // agents that do not come back
 	club    map[string]string // of gateways, boxes and hubs
 	hubs    []string
-	shut    float64 // from when on nothing may go, as too much is lost; 0: it may
+	parts   [3][]float64 // ms from granted (as its agent sees it) to draining, to the barrier's end, and from back to in
+	shut    float64      // from when on nothing may go, as too much is lost; 0: it may
 	started map[int]float64
 	running sync.WaitGroup
 }
@@ -164,24 +165,33 @@
 
 // agent is a machine's: it begins when granted, goes once the log says that it may, works, and comes back.
 func (y *yard) agent(name string, n int) {
-	went := false
+	went, at, was := false, 0.0, maintenance.In
 	for end := time.Now().Add(60 * time.Second); time.Now().Before(end); time.Sleep(30 * time.Millisecond) {
 		var m machines.Machine
 		if err, ok := y.put(drive.Question{About: "machine", Name: name, Fresh: true}, &m, n); !ok || err != nil {
 			continue // nobody knows how it stands
 		}
+		now := y.stage.now()
 		if m.Work == nil {
 			if went {
+				y.took(2, now-at)
 				return
 			}
 			continue
 		}
+		if m.Work.Stage != was {
+			if was == maintenance.Granted && m.Work.Stage == maintenance.Draining {
+				y.took(0, now-at)
+			}
+			at, was = now, m.Work.Stage
+		}
 		o := maintenance.Order{Machine: name, Token: m.Work.Token}
 		switch m.Work.Stage {
 		case maintenance.Granted:
 			y.order(maintenance.Drain, o, n)
 		case maintenance.Draining:
 			if err, ok := y.order(maintenance.Go, o, n); err == nil && ok {
+				y.took(1, y.stage.now()-at)
 				went = true
 				y.away(name)
 				if y.never[name] {
@@ -207,6 +217,12 @@
 	y.mu.Unlock()
 }
 
+func (y *yard) took(part int, ms float64) {
+	y.mu.Lock()
+	defer y.mu.Unlock()
+	y.parts[part] = append(y.parts[part], ms)
+}
+
 // away has a machine go: what stands on it ends, and is started again when its time is over.
 func (y *yard) away(name string) {
 	y.mu.Lock()
@@ -253,6 +269,12 @@
 	y.running.Wait()
 	y.mu.Lock()
 	defer y.mu.Unlock()
+	for i, part := range []string{"from granted to draining", "from draining to out", "from back to in"} {
+		if p := y.parts[i]; len(p) > 0 {
+			slices.Sort(p)
+			y.t.Logf("%s: of %d, median %.0f ms, worst %.0f", part, len(p), p[len(p)/2], p[len(p)-1])
+		}
+	}
 	if y.worst > most {
 		y.t.Errorf("%d machines were out at a time, %d may be", y.worst, most)
 	}
