Until when a gateway knows all that was agreed; a lagging voter takes nobody back in time

Need: who must stop something the moment it may be agreed without it (answers from purged copies) has to know how fresh its knowledge is, without trusting clocks of others. Sight: a question to the leader, answered with the log's end once a majority said, after the question, that it still leads (ReadIndex); known once followed. Cause: Node.feed in peers.go gave its own state to one that had followed further, as after a restart of the voter; jobs, grants and machines stood as they had, for a while. Such a voter now says nothing and another is followed; the simulator checks in every test that nobody goes back.

--- a/internal/quorum/council.go
+++ b/internal/quorum/council.go
@@ -179,7 +179,7 @@
 	n.id = Identity{ID: n.draw(), Name: n.set.Name}
 	n.raft, n.log, n.leader, n.host, n.proof, n.spent = nil, nil, "", "", nil, ""
 	n.conf = conf
-	n.applied = 0
+	n.applied, n.sight = 0, sight{seq: n.sight.seq}
 	n.inc, n.seq, n.joining = 0, 0, n.now // its store is another, so it joins as another
 	n.nonce += 2
 	n.starts = 1
--- a/internal/quorum/door.go
+++ b/internal/quorum/door.go
@@ -27,6 +27,7 @@
 	Replace  float64           // ms for which a voter must be gone before another gets its vote; 0: never
 	Votes    int               // how many are to vote: others are brought up while there are fewer; 0: as many as founded
 	Diskless bool              // it has no store, and only follows
+	Sight    float64           // ms after which it asks again until when it knows all that was agreed; 0: never
 	Works    bool              // it takes part in owned work; what the others are told of it
 	Seed     uint64
 }
--- a/internal/quorum/frame.go
+++ b/internal/quorum/frame.go
@@ -28,6 +28,8 @@
 	Prove                    // what do you know of my identity? Answered by a Proof
 	Proof                    // Data: a Known
 	Piece                    // Data: of a larger frame, in its order on one connection; Applied: the length of the whole
+	Sight                    // how far has the log gone? To the leader
+	Seen                     // Applied: as far as this, by the word of a majority given since it was asked
 )
 
 // Frame is all that goes between two peers. What is not used by its kind is empty.
@@ -130,7 +132,7 @@
 	switch err = canon.Decode(content, &f); {
 	case err != nil:
 		err = fmt.Errorf("frame: %w", err)
-	case f.Kind < Hello || f.Kind > Piece || len(f.Commands)+len(f.Renewals) > mostListed:
+	case f.Kind < Hello || f.Kind > Seen || len(f.Commands)+len(f.Renewals) > mostListed:
 		err = fmt.Errorf("frame: %w: of kind %d, with %d commands and %d renewals", canon.ErrUnreadable, f.Kind, len(f.Commands), len(f.Renewals))
 	}
 	return f, err
--- a/internal/quorum/node.go
+++ b/internal/quorum/node.go
@@ -66,6 +66,7 @@
 	starts  uint64             // of its store, this one counted
 	marks   map[uint64]Mark    // what others were seen to hold, by identity
 	proof   *proof             // it asks others about its store, and takes no part yet
+	sight   sight              // until when it knows all that was agreed
 	spent   string             // why its identity is of no use any more: it is given up as soon as the disk is free
 }
 
@@ -247,6 +248,7 @@
 		n.ring()
 		n.settle()
 	}
+	n.catchUp()
 	out := n.out
 	n.out = nil
 	return out
@@ -280,6 +282,9 @@
 		}
 		due = min(due, p.late())
 	}
+	if at, is := n.sightDue(); is {
+		due = min(due, at)
+	}
 	if n.early && n.inc != 0 && (n.saving == nil || !n.leads()) {
 		due = min(due, n.inTurn)
 	}
@@ -465,6 +470,7 @@
 		n.join()
 	}
 	n.retry()
+	n.lookOut()
 }
 
 // settle carries what raft has to say to the disk, then to the others and into the books, until nothing is left.
@@ -525,6 +531,9 @@
 	for _, e := range r.CommittedEntries {
 		n.commit(e)
 	}
+	for _, s := range r.ReadStates {
+		n.confirmed(s.RequestCtx, s.Index)
+	}
 	n.raft.Advance(r)
 	n.compact()
 }
@@ -667,6 +676,7 @@
 				n.renewed[m.Incarnation] = n.now
 			}
 			n.council = council{began: n.now}
+			n.sight.asks, n.sight.under = nil, nil // what another was asked comes again
 		}
 	}
 	if name != n.leader {
--- a/internal/quorum/peers.go
+++ b/internal/quorum/peers.go
@@ -57,6 +57,12 @@
 		if f.Nonce == n.nonce {
 			n.yield()
 		}
+	case Sight:
+		n.sightAsked(from, f)
+	case Seen:
+		if f.Nonce == n.nonce {
+			n.seen(f.Echo, f.Applied)
+		}
 	case Prove:
 		n.testify(from, f)
 	case Proof:
@@ -149,7 +155,7 @@
 		if t := m.GetType(); t != raftpb.MessageType_MsgApp && t != raftpb.MessageType_MsgSnap && t != raftpb.MessageType_MsgHeartbeat || n.saving != nil {
 			return
 		}
-		n.applied = 0
+		n.applied, n.sight = 0, sight{seq: n.sight.seq}
 		if n.begin(Store{}) != nil {
 			return
 		}
@@ -425,7 +431,7 @@
 	first, _ := n.log.FirstIndex()
 	switch {
 	case after > n.applied:
-		f.Snapshot = n.state() // it follows a log that is not this one
+		return // this gateway itself lags, as after a start: its state would take the other back in time. It finds another to follow
 	case after+1 < first:
 		f.Snapshot = n.state()
 	case after < n.applied:
@@ -459,7 +465,7 @@
 	}
 	if len(f.Snapshot) > 0 {
 		if n.restore(f.Snapshot, f.Applied) != nil {
-			n.applied = 0 // what was taken of it may be half: all is asked for anew
+			n.applied, n.sight = 0, sight{seq: n.sight.seq} // what was taken of it may be half: all is asked for anew
 			return
 		}
 	} else {
--- a/internal/quorum/sim_test.go
+++ b/internal/quorum/sim_test.go
@@ -267,6 +267,13 @@
 		return
 	}
 	s, life := g.s, g.life
+	before := g.node.applied
+	defer func() {
+		// Only what gives up its log, or is brought up to vote, begins anew; nobody goes back to where it was.
+		if now := g.node.applied; now < before && now != 0 && g.up && g.life == life && !s.copies {
+			s.wrong = append(s.wrong, fmt.Sprintf("%.0f: %s goes back from %d to %d", s.now, g.set.Name, before, now))
+		}
+	}()
 	for _, a := range g.node.Handle(g.clock(), e) {
 		switch a := a.(type) {
 		case Send:
