--- a/internal/rehearsal/sockets/owner_test.go
+++ b/internal/rehearsal/sockets/owner_test.go
@@ -217,13 +217,14 @@
 func (c *council) leads(gateway int) {
 	c.t.Helper()
 	for range 12 {
-		l := leader(c.until("all level", c.level))
+		before := c.until("all level", c.level)
+		l := leader(before)
 		if l == gateway {
 			return
 		}
 		if l >= 0 {
 			c.happen(script.Event{Do: "kill", Name: c.names[l], For: 100})
-			c.until("another leads", func(all []*quorum.Report) bool { x := leader(all); return x >= 0 && x != l })
+			c.until("one leads anew", func(all []*quorum.Report) bool { x := leader(all); return x >= 0 && all[x].Term > before[l].Term })
 		}
 	}
 	c.t.Fatalf("%s never leads", c.names[gateway])
