Fleet purges on processes: bounds in the core, blindness past the delay, purge command; jobs go to somebody held off before nobody

A gateway goes by bounds on births as answers come in and asks caches for nothing older; one that has not known for three quarters of the delay all that was agreed takes copies older than that for purged. On processes: one gateway cut off, one heard by nobody, one frozen, all past the delay: no older copy; the same with that rule taken out is found at once (43 s older). A paced purge goes on over a frozen owner, a lost disk, all killed at once. Seen: worst 27 s without an owner in plays of 40 losses. Checked by the books: all members were held off, each for what it had lost; lines: Planner.Plan left nobody. It now takes who is held off for the least time.

--- a/cmd/poppymill/main.go
+++ b/cmd/poppymill/main.go
@@ -14,7 +14,7 @@
 	app := &cli.Command{
 		Name:     "poppymill",
 		Usage:    "a front for caches of large objects behind thin links",
-		Commands: []*cli.Command{serveCommand(), checkCommand(), getCommand(), linkCommand(), quorumCommand(), jobCommand(), machinesCommand(), rehearseCommand(), versionCommand()},
+		Commands: []*cli.Command{serveCommand(), checkCommand(), getCommand(), linkCommand(), quorumCommand(), jobCommand(), machinesCommand(), purgeCommand(), rehearseCommand(), versionCommand()},
 	}
 	if err := app.Run(context.Background(), os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "poppymill:", err)
--- a/cmd/poppymill/quorum.go
+++ b/cmd/poppymill/quorum.go
@@ -15,6 +15,7 @@
 
 	machines "poppymill/internal/maintenance/drive"
 	owned "poppymill/internal/owner/drive"
+	purges "poppymill/internal/purges/drive"
 	"poppymill/internal/quorum"
 	"poppymill/internal/quorum/drive"
 )
@@ -126,6 +127,7 @@
 	}
 	books := owned.Books()
 	maps.Copy(books, machines.Books())
+	maps.Copy(books, purges.Books())
 	r, err := drive.Recover(cmd.Args().First(), books, cmd.Bool("yes"))
 	if err != nil {
 		return unusable(fmt.Errorf("quorum recover: %s: %w", cmd.Args().First(), err))
--- a/internal/bite/main.go
+++ b/internal/bite/main.go
@@ -23,6 +23,7 @@
 	owned     = "./internal/owner"
 	places    = "./internal/owner/place"
 	yard      = "./internal/maintenance"
+	sweeps    = "./internal/purges"
 	crew      = "./internal/owner/drive"
 )
 
@@ -65,6 +66,18 @@
 	{"a cache that holds little is warm", "internal/maintenance/measure.go", "x.Held/x.Pulls < b.Inventory.Limits.WarmShare*like.Held/like.Pulls", "false", yard, "TestWarm"},
 	{"what was measured holds nothing in", "internal/maintenance/limits.go", "t.peaks[c][h] += p", "t.peaks[c][h] += 0 * p", yard, "TestGauge"},
 	{"an hour of which little was measured takes the place of yesterday's", "internal/maintenance/measure.go", "at-g.from >= whole*hour || g.most >", "true || g.most >", yard, "TestGauge"},
+	{"where all are held off nobody owns", "internal/owner/plan.go", "if len(able) == 0 && rest != \"\" {", "if false {", owned, "TestPlannerWithoutChoice"},
+	{"a purge forgets too little", "internal/purges/shelf.go", "if s.Floor = max(s.Floor, x.at); x.is {", "if x.is {", sweeps, "TestForgets"},
+	{"a pattern is passed over", "internal/purges/shelf.go", "(p.Bound.Hard > hard || p.Bound.Soft > max(hard, soft)) && p.re", "newest(p.Bound) > max(hard, soft) && p.re", sweeps, "TestForgets|TestHolds"},
+	{"another club's purge binds", "internal/purges/shelf.go", "(p.Club == \"\" || p.Club == club) &&", "", sweeps, "TestHolds"},
+	{"a batch goes out twice", "internal/purges/book.go", "case o.First != s.Next ||", "case false ||", sweeps, "TestWhoHasFollowed"},
+	{"an old owner sends batches", "internal/purges/book.go", "case o.Owned < b.Owned && !s.overdue(o.First, b.Now):", "case false:", sweeps, "TestWhoHasFollowed"},
+	{"an id with other words is taken", "internal/purges/book.go", "if !reflect.DeepEqual(s.Purge, *o.Purge) {", "if false && !reflect.DeepEqual(s.Purge, *o.Purge) {", sweeps, "TestWhoHasFollowed"},
+	{"done without a gateway that is there", "internal/purges/book.go", "(g.There || b.Now < g.Since+s.Limits.Delay)", "b.Now < g.Since+s.Limits.Delay", sweeps, "TestWhoHasFollowed"},
+	{"a lost gateway is not waited for", "internal/purges/book.go", "(g.There || b.Now < g.Since+s.Limits.Delay)", "g.There", sweeps, "TestWhoHasFollowed"},
+	{"a new process goes by what the old one had read", "internal/purges/book.go", "\t\t\told.Seen = 0\n", "", sweeps, "TestWhoHasFollowed"},
+	{"a part of a name is matched", "internal/purges/shelf.go", "regexp.Compile(`\\A(?:` + text + `)\\z`)", "regexp.Compile(text)", sweeps, "TestHolds"},
+	{"patterns are lost by a restart", "internal/purges/shelf.go", "\t\ts.Patterns[i].re = re\n", "\t\ts.Patterns[i].re = regexp.MustCompile(\"^$\")\n\t\t_ = re\n", sweeps, "TestHolds"},
 	{"a job that was fenced keeps its grant", "internal/owner/book.go", "\t\tj.part(index, \"fenced\")\n", "", owned, "TestFence"},
 	{"a place takes effects before it has followed the log", "internal/owner/drive/crew.go", "case c.stand.Incarnation == 0:", "case false:", crew, "TestCrew"},
 	{"the log's grants are not told to the place", "internal/owner/agent.go", "do = append(do, Raise{j.Name, j.Token})", "", owned, "TestAgent"},
--- a/internal/caches/pool.go
+++ b/internal/caches/pool.go
@@ -60,6 +60,7 @@
 type Pool struct {
 	limits  Limits
 	dial    func(address string) Wire
+	Oldest  func(*Pull) float64 // from which birth on, Unix ms, a copy does as it arrives; nil: any that was asked for
 	nodes   map[string]*node
 	links   map[Wire]*link
 	tags    int
@@ -468,6 +469,9 @@
 	case status == router.Fulfilled && q.Copies && !probe && q.MaxAge > 0 && born < q.sent-q.MaxAge-ageSlack:
 		p.Old++
 		status = router.Failed
+	case status == router.Fulfilled && q.Copies && !probe && p.Oldest != nil && born < p.Oldest(q):
+		p.Old++
+		status = router.Failed
 	}
 	end := End{Status: status, Note: notes[fields["res"]], Load: p.load(fields["gauges"]),
 		Keep: r.Word == "KEEP", At: e.At}
--- a/internal/gateway/core.go
+++ b/internal/gateway/core.go
@@ -81,6 +81,7 @@
 	nodes     map[string]router.Entry // as they are listed
 	listed    func(there map[string]bool)
 	meter     *meter   // what machines out for work are judged by; nil: nobody asks
+	void      *voids   // copies that were purged by the gateways' own agreement; nil: it agrees on nothing
 	left      *leaving // nodes that it sends nothing to, whatever the list says; nil: none
 	aheads    int      // downloads of this gateway's own, so far
 	most      int      // of those open at a time
@@ -162,6 +163,9 @@
 	case Leave:
 		g.Ring(e.At)
 		g.leaveNodes(e)
+	case Void:
+		g.Ring(e.At)
+		g.voided(e)
 	case Rekeyed:
 		if g.desk != nil {
 			g.desk.block = e.Block
@@ -564,6 +568,7 @@
 		return
 	}
 	g.Pulls++
+	g.void.bound(&a, d, p.n, g.now)
 	text := fields(d, a, until-g.now)
 	if g.desk != nil {
 		text = g.desk.forBox(text, d, p, g.now)
--- a/internal/gateway/leave.go
+++ b/internal/gateway/leave.go
@@ -93,7 +93,10 @@
 }
 
 // corePeer is how the agreement's loop reaches the core.
-type corePeer struct{ p *poster }
+type corePeer struct {
+	p     *poster
+	known *known
+}
 
 // Leave hands it over, and again a little later where the core's inbox is full.
 func (c corePeer) Leave(nodes []string, number int, done func(int)) {
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -8,6 +8,7 @@
 	machines "poppymill/internal/maintenance/drive"
 	"poppymill/internal/operator"
 	owned "poppymill/internal/owner/drive"
+	purges "poppymill/internal/purges/drive"
 	agreement "poppymill/internal/quorum/drive"
 )
 
@@ -21,6 +22,7 @@
 	Fails  failpoint.Block
 
 	Machines machines.Block
+	Purges   purges.Block
 }
 
 // LoadSettings reads an operator's file; no path is no file, and settings that change nothing.
@@ -36,7 +38,7 @@
 	if err := operator.Parse(text, path, operator.One("log", s.Log.Fields), operator.One("links", s.Links.Fields),
 		operator.One("fair", s.Fair.Fields), operator.One("quorum", s.Quorum.Fields),
 		operator.One("jobs", s.Jobs.Fields), operator.One("failpoints", s.Fails.Fields),
-		operator.One("machines", s.Machines.Fields)); err != nil {
+		operator.One("machines", s.Machines.Fields), operator.One("purges", s.Purges.Fields)); err != nil {
 		return nil, err
 	}
 	if s.Jobs.On && !s.Quorum.On {
@@ -45,5 +47,8 @@
 	if s.Machines.On && !s.Jobs.On {
 		return nil, fmt.Errorf("%s: machines: needs the block jobs", path)
 	}
+	if s.Purges.On && !s.Jobs.On {
+		return nil, fmt.Errorf("%s: purges: needs the block jobs", path)
+	}
 	return s, nil
 }
--- a/internal/maintenance/drive/yard.go
+++ b/internal/maintenance/drive/yard.go
@@ -17,7 +17,6 @@
 	"poppymill/internal/maintenance"
 	"poppymill/internal/owner"
 	owned "poppymill/internal/owner/drive"
-	"poppymill/internal/owner/place"
 	"poppymill/internal/quorum"
 	agreement "poppymill/internal/quorum/drive"
 )
@@ -208,7 +207,7 @@
 		y.propose(maintenance.Have, "", y.block.Inventory)
 	}
 	if !y.crew.Has(Schedule) {
-		y.council.Propose(quorum.Command{Book: owned.Book, Kind: owner.Start, Data: canon.Encode(owner.Job{Name: Schedule, Kind: Hold, Steps: 1, Window: 1})}, func(quorum.Outcome) {})
+		y.council.Propose(quorum.Command{Book: owned.Book, Kind: owner.Start, Data: canon.Encode(owner.Job{Name: Schedule, Kind: owned.Hold, Steps: 1, Window: 1})}, func(quorum.Outcome) {})
 	}
 	if voters := y.council.Voters(); len(voters) > 0 && !slices.Equal(voters, y.book.Voters) {
 		y.propose(maintenance.Votes, "", maintenance.Order{Names: voters})
@@ -234,16 +233,6 @@
 	}
 }
 
-// Hold is the kind of jobs that are only owned: their one step is never done.
-const Hold = "hold"
-
-// HoldHand carries out the step of a job that is only owned, by never ending it: it is taken for lost after a while and goes out anew,
-// which costs nothing. People don't ask for such jobs.
-func HoldHand() owned.Hand {
-	return owned.Hand{Type: owner.Safe, Check: func(owner.Job) error { return errors.New("kind: the leader asks for it by itself") },
-		Do: func(place.Effect, func(owner.End)) {}}
-}
-
 // schedule grants what the plan says is next.
 func (y *Yard) schedule(token uint64) {
 	if len(y.book.Works) == 0 {
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -308,6 +308,26 @@
 	}
 }
 
+// Where all that are there are held off, a job goes to the one that is for the least time in place of standing still.
+func TestPlannerWithoutChoice(t *testing.T) {
+	b, p := New(8), &Planner{Hold: 1000, Longest: 60_000}
+	for i, name := range []string{"a", "b", "c"} {
+		b.Member(uint64(i+1), name, Worker{Incarnation: uint64(i + 1), There: true, Losses: uint64(3 + (i+1)%3)}) // a 4, b 5, c 3
+	}
+	b.Apply(10, Start, canon.Encode(Job{Name: "j", Kind: "k", Steps: 1, Window: 1}))
+	if c := p.Plan(0, b); len(c) != 1 || c[0].Name != "c" {
+		t.Errorf("of three held off: %v", c)
+	}
+	b.Member(11, "c", Worker{Incarnation: 3, Losses: 4})
+	if c := p.Plan(10, b); len(c) != 1 || c[0].Name != "a" {
+		t.Errorf("of two held off: %v", c)
+	}
+	b.Member(12, "d", Worker{Incarnation: 9, There: true})
+	if c := p.Plan(20, b); len(c) != 1 || c[0].Name != "d" {
+		t.Errorf("beside one that is not: %v", c)
+	}
+}
+
 // What is asked for wrongly changes nothing, by name; memory is bounded.
 func TestRefusals(t *testing.T) {
 	b := New(2)
--- a/internal/owner/plan.go
+++ b/internal/owner/plan.go
@@ -21,7 +21,8 @@
 	at                  float64
 }
 
-// Plan names grants to be asked for: the member with the least work that is not held off, by name where these are several.
+// Plan names grants to be asked for: the member with the least work that is not held off, by name where these are several. Where all are held
+// off, the one whose time is over first: seen in a long play of losses, a job stood still for 27 s as each had been lost some times.
 func (p *Planner) Plan(now float64, b *Book) (all []Claim) {
 	if p.back == nil {
 		p.back = map[string]returned{}
@@ -29,6 +30,7 @@
 	p.next = math.Inf(1)
 	load := map[string]int{}
 	var able []string
+	rest, soon := "", math.Inf(1) // who is held off for the least time
 	for _, name := range slices.Sorted(maps.Keys(b.Workers)) {
 		w, r := b.Workers[name], p.back[name]
 		if r.losses != w.Losses || r.there != w.There || r.incarnation != w.Incarnation {
@@ -45,8 +47,14 @@
 			able = append(able, name)
 		} else if w.There && !w.Idle {
 			p.next = min(p.next, r.at+hold)
+			if r.at+hold < soon {
+				rest, soon = name, r.at+hold
+			}
 		}
 	}
+	if len(able) == 0 && rest != "" {
+		able = append(able, rest)
+	}
 	maps.DeleteFunc(p.back, func(name string, _ returned) bool { _, ok := b.Workers[name]; return !ok })
 	for _, j := range b.All() {
 		if j.Owner != "" {
--- a/internal/purges/book.go
+++ b/internal/purges/book.go
@@ -37,6 +37,7 @@
 	Sent     float64  `cbor:"9,keyasint" json:"sent"`               // when
 	Without  []string `cbor:"10,keyasint" json:"without,omitempty"` // lost gateways that did not say so; they are blind
 	Ended    float64  `cbor:"11,keyasint" json:"ended,omitempty"`
+	Start    float64  `cbor:"12,keyasint" json:"start"` // when the first of its objects may go out: one pace for all purges
 }
 
 // Gateway is a member.
@@ -192,8 +193,14 @@
 			b.out(index, s, Mark{Group: g, Grouped: true})
 		}
 	}
-	if s.Limits.Rate == 0 {
+	if s.Start = b.Now; s.Limits.Rate == 0 {
 		b.send(index, s, len(s.Purge.Objects))
+	} else {
+		for _, x := range b.Purges {
+			if x.Stage == Going && x != s {
+				s.Start = max(s.Start, x.due(len(x.Purge.Objects)))
+			}
+		}
 	}
 	b.drop()
 	return s, nil
@@ -228,10 +235,10 @@
 	switch {
 	case s == nil:
 		return nil, ErrUnknown
-	case o.Owned < b.Owned:
+	case o.Owned < b.Owned && !s.overdue(o.First, b.Now):
 		return nil, ErrOld
 	}
-	b.Owned = o.Owned
+	b.Owned = max(b.Owned, o.Owned)
 	switch {
 	case s.Stage != Going:
 		return nil, ErrOver
@@ -285,31 +292,34 @@
 	return all
 }
 
-// Effective is when no answer anywhere comes from an older copy any more, at the latest: told at its acceptance.
-func (s *State) Effective() float64 {
-	at := s.Accepted + s.Limits.Delay
-	if s.Limits.Rate > 0 {
-		at += 1000 * float64(len(s.Purge.Objects)) / s.Limits.Rate
+// due is when an object, by its number, is to go out.
+func (s *State) due(object int) float64 {
+	if s.Limits.Rate == 0 {
+		return s.Start
 	}
-	return at
+	return s.Start + 1000*float64(object)/s.Limits.Rate
 }
 
-// NextBatch is what is to go out next, by the pace that the limits give; else when that may be, if at all.
-func (b *Book) NextBatch(now float64) (o Order, is bool) {
+// overdue tells whether an object should long have gone out: its owner was lost, and whoever knows of it may send it, so that the delay holds.
+func (s *State) overdue(object int, now float64) bool {
+	return s.Limits.Rate > 0 && now >= s.due(object)+s.Limits.Delay/4
+}
+
+// Effective is when no answer anywhere comes from an older copy any more, at the latest: told at its acceptance.
+func (s *State) Effective() float64 { return s.due(len(s.Purge.Objects)) + s.Limits.Delay }
+
+// NextBatch is what is to go out next by the pace that the limits give; late tells that whoever leads is to send it, as its owner did not.
+func (b *Book) NextBatch(now float64) (o Order, due, late bool) {
 	var first *State
-	last := 0.0
 	for _, s := range b.Purges {
-		if s.Limits.Rate > 0 && s.Next > 0 { // the pace is one of all purges
-			last = max(last, s.Sent+1000*float64(min(s.Limits.Batch, s.Next))/s.Limits.Rate)
-		}
 		if s.Stage == Going && (first == nil || s.Place < first.Place) {
 			first = s
 		}
 	}
-	if first == nil || now < last {
-		return o, false
+	if first == nil || now < first.due(first.Next) {
+		return o, false, false
 	}
-	return Order{At: now, ID: first.Purge.ID, First: first.Next, Next: min(len(first.Purge.Objects), first.Next+first.Limits.Batch)}, true
+	return Order{At: now, ID: first.Purge.ID, First: first.Next, Next: min(len(first.Purge.Objects), first.Next+first.Limits.Batch)}, true, first.overdue(first.Next, now)
 }
 
 // Open tells whether some purge is not over.
--- a/internal/quorum/drive/council.go
+++ b/internal/quorum/drive/council.go
@@ -190,6 +190,15 @@
 // Retire names gateways that are about to go for a while: their votes go to others first. Of the loop.
 func (c *Council) Retire(names []string) { c.node.Retire(names) }
 
+// Sight is how many ms ago this gateway last knew all that was agreed by then; under 0: it never did. Of the loop.
+func (c *Council) Sight() float64 {
+	at, knows := c.node.Sight()
+	if !knows {
+		return -1
+	}
+	return c.now() - at
+}
+
 // Voters are the names of those that vote, sorted. Of the loop.
 func (c *Council) Voters() []string { return c.node.Voters() }
 
--- a/internal/rehearsal/auditor/auditor.go
+++ b/internal/rehearsal/auditor/auditor.go
@@ -62,6 +62,7 @@
 	chains map[string]string          // by a link of a write: the download by which it took effect
 	shut   map[int]map[string]float64 // by gateway and box: when it was told to leave it alone
 	purged map[int]*purges
+	agreed []world.Purging   // by the gateways themselves
 	token  map[string]uint64 // the highest seen, by place and job
 	steps  map[string]int    // how often a step that must not run twice has happened, by job and step
 }
@@ -127,6 +128,8 @@
 		}
 	case world.Ran:
 		a.ran(f)
+	case world.Purging:
+		a.agreed = append(a.agreed, f)
 	case world.Told:
 		a.told(f)
 	case world.Pushed:
@@ -229,6 +232,12 @@
 		last = max(last, p.At)
 	}
 	a.age(d.Gateway, d.Object, d.Group, d.ID, "", last, born, f.At)
+	for _, p := range a.agreed {
+		if f.At > p.By+a.slack && born < p.When-1 && (p.Object == d.Object || p.Object == "" && p.Group == d.Group) && (p.Club == "" || p.Club == d.Club) {
+			a.find(Purges, f.At, d.Gateway, d.ID, "", "answered by a copy %.0f ms older than a purge that the gateways agreed on, %.0f ms past its time", p.When-born, f.At-p.By)
+			return
+		}
+	}
 }
 
 // age checks a copy that answers a pull sent at a time against the purges that its gateway knew of then.
--- a/internal/rehearsal/world/door.go
+++ b/internal/rehearsal/world/door.go
@@ -221,6 +221,13 @@
 		Group      int    // -1: none
 		When       float64
 	}
+	// Purging: the gateways accepted a purge themselves; past By no answer anywhere may come from a copy that was born before When.
+	Purging struct {
+		Object   string // empty: a group
+		Group    int
+		Club     string
+		When, By float64
+	}
 	// Pushed: what was sent to a cold box in the last window is over what its state bears, and it falls over.
 	Pushed struct {
 		At            float64
