--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -255,7 +255,7 @@
 		l.log.WithField("shares", shares).Info("fair door")
 	}
 	l.log.WithFields(logrus.Fields{
-		"blind": c.void.blinds(), "taken": c.Taken, "forbidden": c.Forbidden, "fulfilled": c.Fulfilled, "kept": c.Kept, "throttled": c.Throttled,
+		"blind": l.core.void.blinds(), "taken": c.Taken, "forbidden": c.Forbidden, "fulfilled": c.Fulfilled, "kept": c.Kept, "throttled": c.Throttled,
 		"abandoned": c.Abandoned, "left": c.Left, "refused": c.Refused, "turned": c.Turned, "overdue": c.Overdue,
 		"panics": c.Panics, "pulls": c.Pulls, "probes": c.Probes, "open": l.core.Open(),
 		"conns": p.Conns(), "dialled": p.Dialled, "malformed": p.Malformed, "short": p.Short, "late": p.Late, "mute": p.Mute, "old": p.Old,
