Purges: a delay of 30 s by default, and what blindness costs

Need: the issue asks for the bound on the core when 300 gateways lose sight at once. So the default goes from 5 to 30 s.

--- a/deploy/poppymill.hcl
+++ b/deploy/poppymill.hcl
@@ -89,7 +89,7 @@
 
 # Purges that the gateways agree on (docs/operate/purges.md); needs quorum and jobs. The same in every file.
 # purges {
-#   delay = "5s"          # past which no answer comes from an older copy
+#   delay = "30s"         # past which no answer comes from an older copy
 #   skew  = "500ms"       # by which clocks may be apart
 #   rate  = 0             # objects a second that go out; 0: all at once
 #   batch = 200
--- a/internal/purges/door.go
+++ b/internal/purges/door.go
@@ -28,7 +28,7 @@
 }
 
 // DefaultLimits are limits for a site on a local network.
-func DefaultLimits() Limits { return Limits{Delay: 5000, Skew: 500, Batch: 200, Held: 20_000} }
+func DefaultLimits() Limits { return Limits{Delay: 30_000, Skew: 500, Batch: 200, Held: 20_000} }
 
 // Stage is how far a purge has come.
 type Stage int
