Purges: bounds looked at by generated answers at the core; what waits is bounded so that a state fits a frame

A purge of thousands of objects would have had the router look through all it remembers for each (a second of the core's loop): past 64 at a time the bounds alone do. Open purges could hold more than a state's frame takes: 200,000 names wait at most, more are refused by name.

--- a/cmd/poppymill/purge.go
+++ b/cmd/poppymill/purge.go
@@ -173,9 +173,17 @@
 }
 
 func purgeList(ctx context.Context, cmd *cli.Command) error {
-	r, err := put(ctx, cmd, 1, drive.Question{About: "purges"})
+	if cmd.Args().Len() != 1 {
+		return unusable(errors.New("purge list: takes ADDRESS"))
+	}
+	ctx, cancel := context.WithTimeout(ctx, cmd.Duration("within"))
+	defer cancel()
+	r, err := drive.Put(ctx, cmd.Args().First(), drive.Question{About: "purges", Fresh: cmd.Bool("fresh")})
+	if err == nil && r.Error != "" {
+		err = errors.New(r.Error)
+	}
 	if err != nil {
-		return err
+		return cli.Exit(fmt.Sprintf("purge list: %s: %v", cmd.Args().First(), err), 1)
 	}
 	var all struct {
 		Held   int            `json:"held"`
--- a/internal/bite/main.go
+++ b/internal/bite/main.go
@@ -24,6 +24,7 @@
 	places    = "./internal/owner/place"
 	yard      = "./internal/maintenance"
 	sweeps    = "./internal/purges"
+	front     = "./internal/gateway"
 	crew      = "./internal/owner/drive"
 )
 
@@ -78,6 +79,10 @@
 	{"a new process goes by what the old one had read", "internal/purges/book.go", "\t\t\told.Seen = 0\n", "", sweeps, "TestWhoHasFollowed"},
 	{"a part of a name is matched", "internal/purges/shelf.go", "regexp.Compile(`\\A(?:` + text + `)\\z`)", "regexp.Compile(text)", sweeps, "TestHolds"},
 	{"patterns are lost by a restart", "internal/purges/shelf.go", "\t\ts.Patterns[i].re = re\n", "\t\ts.Patterns[i].re = regexp.MustCompile(\"^$\")\n\t\t_ = re\n", sweeps, "TestHolds"},
+	{"copies are not looked at as they come in", "internal/caches/pool.go", "p.Oldest != nil && born < p.Oldest(q)", "p.Oldest != nil && born < p.Oldest(q)-1e9", front, "TestVoids"},
+	{"a gateway that can't hear goes on", "internal/gateway/void.go", "v.delay > 0 && now-v.known() > inTime*v.delay {", "v.delay > 0 && now-v.known() > 1e9*v.delay {", front, "TestVoids"},
+	{"a frozen gateway goes by the time of before", "internal/gateway/void.go", "if now := v.now(); v.delay > 0", "if now := v.known(); v.delay > 0", front, "TestVoids"},
+	{"a stale copy answers at once", "internal/gateway/void.go", "\t\treturn max(hard, soft)\n", "\t\treturn max(hard, 0*soft)\n", front, "TestVoids"},
 	{"a job that was fenced keeps its grant", "internal/owner/book.go", "\t\tj.part(index, \"fenced\")\n", "", owned, "TestFence"},
 	{"a place takes effects before it has followed the log", "internal/owner/drive/crew.go", "case c.stand.Incarnation == 0:", "case false:", crew, "TestCrew"},
 	{"the log's grants are not told to the place", "internal/owner/agent.go", "do = append(do, Raise{j.Name, j.Token})", "", owned, "TestAgent"},
--- a/internal/gateway/reload.go
+++ b/internal/gateway/reload.go
@@ -14,6 +14,7 @@
 	"poppymill/internal/footprint"
 	machines "poppymill/internal/maintenance/drive"
 	owned "poppymill/internal/owner/drive"
+	purges "poppymill/internal/purges/drive"
 	agreement "poppymill/internal/quorum/drive"
 )
 
@@ -39,6 +40,7 @@
 	quorum        agreement.Block // as started
 	jobs          owned.Block     // as started
 	machines      machines.Block  // as started
+	purges        purges.Block    // as started
 	operator      atomic.Pointer[Settings]
 	done, misread atomic.Int64
 }
@@ -73,6 +75,9 @@
 			failpoint.Set(f)
 			r.log.WithFields(logrus.Fields{"stop": f.Stop, "kill": f.Kill}).Warn("failpoints in force")
 		}
+		if s.Operator.Purges != r.purges {
+			fixed = append(fixed, "purges")
+		}
 		if !reflect.DeepEqual(s.Operator.Machines, r.machines) {
 			fixed = append(fixed, "machines")
 		}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -122,7 +122,7 @@
 	following, unfollow := context.WithCancel(context.Background())
 	defer unfollow()
 	g.Go(func() error { follower.Run(following); return nil })
-	reload := &reloader{Reloads: reloads, running: c, follower: follower, log: log, guard: guard, quorum: s.Operator.Quorum, jobs: s.Operator.Jobs, machines: s.Operator.Machines}
+	reload := &reloader{Reloads: reloads, running: c, follower: follower, log: log, guard: guard, quorum: s.Operator.Quorum, jobs: s.Operator.Jobs, machines: s.Operator.Machines, purges: s.Operator.Purges}
 	reload.operator.Store(s.Operator)
 	g.Go(func() error { reload.run(following); return nil })
 	g.Go(func() error { return server.Serve(following, listener) })
--- a/internal/gateway/void.go
+++ b/internal/gateway/void.go
@@ -89,11 +89,15 @@
 	return v.blind
 }
 
+// fewMarks is up to how many marks at a time the router is told of as well, which forgets what it believes parents to hold. It looks through all
+// that it remembers for each; past that the bounds alone have to do, and downloads don't wait for it.
+const fewMarks = 64
+
 func (g *Core) voided(e Void) {
 	named := map[string]bool{}
 	groups := map[int64]bool{}
 	for _, m := range e.Marks {
-		if g.void.shelf.Put(m); m.Club != "" && m.Club != g.void.club || m.Stale {
+		if g.void.shelf.Put(m); m.Club != "" && m.Club != g.void.club || m.Stale || len(e.Marks) > fewMarks {
 			continue
 		}
 		switch age := max(0, g.now-m.At); {
@@ -105,7 +109,7 @@
 			g.event(router.Purged{Object: m.Object, Age: age})
 		}
 	}
-	if len(e.Marks) > 0 { // what is not written yet asks for more than does now
+	if len(named)+len(groups) > 0 { // what is not written yet asks for more than does now
 		g.withdraw(func(p *pull) bool { return named[p.dl.object] || groups[p.dl.group] })
 	}
 	e.Done(e.Index)
--- a/internal/purges/book.go
+++ b/internal/purges/book.go
@@ -50,9 +50,11 @@
 
 // Bounds.
 const (
-	mostOpen     = 1024 // purges that are not over
-	mostPurges   = 4096 // that are remembered
-	mostObjects  = 8192 // of one purge
+	mostOpen     = 1024    // purges that are not over
+	mostPurges   = 4096    // that are remembered
+	mostObjects  = 8192    // of one purge
+	mostNamed    = 200_000 // objects and groups of all that are remembered: a state has to fit the pieces of one frame
+	mostHeld     = 200_000
 	mostID       = 128
 	mostName     = 512
 	mostGateways = 8192
@@ -106,8 +108,8 @@
 		return errors.New("rate: not a number")
 	case l.Batch < 1 || l.Batch > mostObjects:
 		return fmt.Errorf("batch: 1 to %d", mostObjects)
-	case l.Held < 16 || l.Held > 1<<20:
-		return errors.New("held: 16 to 1048576")
+	case l.Held < 16 || l.Held > mostHeld:
+		return fmt.Errorf("held: 16 to %d", mostHeld)
 	}
 	return nil
 }
@@ -174,13 +176,14 @@
 		}
 		return s, nil
 	}
-	open := 0
+	open, named := 0, o.Purge.names()
 	for _, s := range b.Purges {
 		if s.Stage <= Sent {
 			open++
+			named += s.Purge.names()
 		}
 	}
-	if open >= mostOpen {
+	if open >= mostOpen || named > mostNamed {
 		return nil, ErrFull
 	}
 	b.Limits, b.Shelf.Most = *o.Limits, o.Limits.Held
@@ -206,6 +209,9 @@
 	return s, nil
 }
 
+// names counts what it names one by one.
+func (p *Purge) names() int { return len(p.Objects) + len(p.Groups) }
+
 // bound is from which birth on copies count for what a purge names.
 func (s *State) bound() float64 { return s.Accepted + s.Limits.Skew }
 
@@ -334,7 +340,11 @@
 
 // drop forgets the oldest purges that are over.
 func (b *Book) drop() {
-	for len(b.Purges) > mostPurges {
+	named := 0
+	for _, s := range b.Purges {
+		named += s.Purge.names()
+	}
+	for len(b.Purges) > mostPurges || named > mostNamed {
 		var old *State
 		for _, s := range b.Purges {
 			if s.Stage >= Done && (old == nil || s.Place < old.Place) {
@@ -344,6 +354,7 @@
 		if old == nil {
 			return
 		}
+		named -= old.Purge.names()
 		delete(b.Purges, old.Purge.ID)
 	}
 }
--- a/internal/purges/drive/sweep.go
+++ b/internal/purges/drive/sweep.go
@@ -108,7 +108,7 @@
 		s.tell()
 	case gone:
 		s.goes = max(s.goes, e.index)
-	case nil:
+	default: // time, or what is another part's
 		if now < s.next {
 			return
 		}
@@ -142,7 +142,7 @@
 	}
 	if s.stand.Leads {
 		if !s.crew.Has(Sender) && s.block.Limits.Rate > 0 {
-			s.council.Propose(quorum.Command{Book: owned.Book, Kind: owner.Start, Data: canon.Encode(owner.Job{Name: Sender, Kind: owned.Hold, Steps: 1, Window: 1})}, func(quorum.Outcome) {})
+			s.order(owned.Book, owner.Start, "", owner.Job{Name: Sender, Kind: owned.Hold, Steps: 1, Window: 1})
 		}
 		if s.now >= s.ticked+tickEvery {
 			s.ticked = s.now
@@ -156,8 +156,10 @@
 	}
 }
 
-// propose has a command agreed, and not again before it had its time.
-func (s *Sweep) propose(kind, key string, o purges.Order) {
+func (s *Sweep) propose(kind, key string, o purges.Order) { s.order(Book, kind, key, o) }
+
+// order has a command agreed, and not again before it had its time.
+func (s *Sweep) order(book, kind, key string, content any) {
 	key = kind + " " + key
 	if s.now < s.open[key] {
 		return
@@ -166,7 +168,7 @@
 		clear(s.open)
 	}
 	s.open[key] = s.now + 1000
-	s.council.Propose(quorum.Command{Book: Book, Kind: kind, Data: canon.Encode(o)}, func(quorum.Outcome) { delete(s.open, key) })
+	s.council.Propose(quorum.Command{Book: book, Kind: kind, Data: canon.Encode(content)}, func(quorum.Outcome) { delete(s.open, key) })
 }
 
 // tell writes a line for each purge that came to another stage.
--- a/internal/purges/purges_test.go
+++ b/internal/purges/purges_test.go
@@ -286,6 +286,18 @@
 			t.Errorf("%s: %v", want, err)
 		}
 	}
+	full, l := New(), DefaultLimits()
+	l.Rate = 1
+	for i := range mostNamed/mostObjects + 2 {
+		objects := make([]string, mostObjects)
+		for k := range objects {
+			objects[k] = fmt.Sprint(i, "-", k)
+		}
+		r := full.give(uint64(i+1), Accept, Order{Purge: &Purge{ID: fmt.Sprint(i), Objects: objects}, Limits: &l})
+		if full := i >= mostNamed/mostObjects; (r == ErrFull) != full {
+			t.Errorf("%d purges of %d objects wait, and another: %v", i, mostObjects, r)
+		}
+	}
 	b := New()
 	if r := b.Apply(1, Accept, []byte("x")); r != ErrBad {
 		t.Errorf("unreadable: %v", r)
