--- a/cmd/poppymill/purge.go
+++ b/cmd/poppymill/purge.go
@@ -33,6 +33,7 @@
 		{Name: "pattern", Usage: "by a regular expression of the whole name", ArgsUsage: "ADDRESS PATTERN", Flags: ask, Action: purgeAsk},
 		{Name: "status", Usage: "one purge; status 1 where it is past its time and some gateway has not said that it goes by it", ArgsUsage: "ADDRESS ID", Flags: look, Action: purgeStatus},
 		{Name: "list", Usage: "all that are remembered, in their order", ArgsUsage: "ADDRESS", Flags: look, Action: purgeList},
+		{Name: "followers", Usage: "how far each gateway goes by what went out; status 1 where one that is there does not go by all of it", ArgsUsage: "ADDRESS", Flags: look, Action: purgeFollowers},
 		{Name: "cancel", Usage: "have nothing more of one go out", ArgsUsage: "ADDRESS ID", Flags: flags, Action: purgeCancel},
 	}}
 }
@@ -172,25 +173,63 @@
 	return nil
 }
 
-func purgeList(ctx context.Context, cmd *cli.Command) error {
+// lookAt asks the one gateway that is named, and reads what it tells.
+func lookAt(ctx context.Context, cmd *cli.Command, about string, to any) (drive.Reply, error) {
 	if cmd.Args().Len() != 1 {
-		return unusable(errors.New("purge list: takes ADDRESS"))
+		return drive.Reply{}, unusable(fmt.Errorf("purge %s: takes %s", cmd.Name, cmd.ArgsUsage))
 	}
 	ctx, cancel := context.WithTimeout(ctx, cmd.Duration("within"))
 	defer cancel()
-	r, err := drive.Put(ctx, cmd.Args().First(), drive.Question{About: "purges", Fresh: cmd.Bool("fresh")})
+	r, err := drive.Put(ctx, cmd.Args().First(), drive.Question{About: about, Fresh: cmd.Bool("fresh")})
 	if err == nil && r.Error != "" {
 		err = errors.New(r.Error)
 	}
+	if err == nil {
+		err = json.Unmarshal(r.Body, to)
+	}
+	if err != nil {
+		return r, cli.Exit(fmt.Sprintf("purge %s: %s: %v", cmd.Name, cmd.Args().First(), err), 1)
+	}
+	return r, nil
+}
+
+func purgeFollowers(ctx context.Context, cmd *cli.Command) error {
+	var all struct {
+		Last     uint64            `json:"last"`
+		Gateways []driver.Follower `json:"gateways"`
+	}
+	r, err := lookAt(ctx, cmd, "purge followers", &all)
 	if err != nil {
-		return cli.Exit(fmt.Sprintf("purge list: %s: %v", cmd.Args().First(), err), 1)
+		return err
 	}
+	holds := true
+	for _, g := range all.Gateways {
+		holds = holds && (g.Follows || !g.There)
+	}
+	if cmd.Bool("json") {
+		err = document(map[string]any{"view": r.Report, "last": all.Last, "holds": holds, "gateways": all.Gateways})
+	} else {
+		t := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+		fmt.Fprintf(t, "%s; something went out last at %d\nGATEWAY\tTHERE\tSINCE\tGOES BY ALL UP TO\tFOLLOWS\n", view(r), all.Last)
+		for _, g := range all.Gateways {
+			fmt.Fprintf(t, "%s\t%t\t%s\t%d\t%t\n", g.Name, g.There, clock(g.Since), g.Seen, g.Follows)
+		}
+		err = t.Flush()
+	}
+	if err == nil && !holds {
+		return cli.Exit("", 1)
+	}
+	return err
+}
+
+func purgeList(ctx context.Context, cmd *cli.Command) error {
 	var all struct {
 		Held   int            `json:"held"`
 		Floor  float64        `json:"floor"`
 		Purges []driver.Purge `json:"purges"`
 	}
-	if err := json.Unmarshal(r.Body, &all); err != nil {
+	r, err := lookAt(ctx, cmd, "purges", &all)
+	if err != nil {
 		return err
 	}
 	if cmd.Bool("json") {
--- a/deploy/poppymill.hcl
+++ b/deploy/poppymill.hcl
@@ -94,6 +94,7 @@
 #   rate  = 0             # objects a second that go out; 0: all at once
 #   batch = 200
 #   held  = 20000         # bounds remembered one by one
+#   fills = 0             # a second, of all gateways, past which the next batch waits; needs a rate
 # }
 
 # Machines out for work, in an order that the gateways settle. Off unless this block stands here, beside jobs: docs/operate/maintenance.md.
--- a/internal/gateway/council.go
+++ b/internal/gateway/council.go
@@ -52,7 +52,12 @@
 	core.Purges(zone, o.Purges.Held(), o.Purges.On, peer.known.at, p.now)
 	if k.council, err = drive.Open(b, c.Name, zone, peersMost(c), drive.Parts{crew, yard, sweep}, log); err == nil && o.Machines.On {
 		core.Listed(func(there map[string]bool) { k.council.Post(machines.Nodes{There: there}) })
-		core.Measure(func(l maintenance.Load) { k.council.Post(l) })
+	}
+	if err == nil && (o.Machines.On || o.Purges.On) {
+		core.Measure(func(l maintenance.Load, misses float64) {
+			k.council.Post(l)
+			k.council.Post(purges.Misses{Rate: misses})
+		})
 	}
 	if err == nil && jobs.On && jobs.Limits.WarmRounds > 0 {
 		core.Boots(func(n router.Entry) {
--- a/internal/gateway/meter.go
+++ b/internal/gateway/meter.go
@@ -9,8 +9,9 @@
 // what it asked them for. It belongs to the core's loop.
 type meter struct {
 	taken router.Ring
+	fills router.Ring // pulls of what the edge cache did not hold
 	boxes map[string]*held
-	told  func(maintenance.Load)
+	told  func(load maintenance.Load, fills float64)
 	next  float64
 }
 
@@ -20,13 +21,14 @@
 const (
 	meterSpan  = 10_000.0
 	meterEvery = 1000.0
+	fillSpan   = 2000.0 // of fills: a batch of purges waits for them
 )
 
 func newRing() router.Ring { return router.NewRing(meterSpan, 10) }
 
 // Measure has somebody told once a second of what was measured; until then nothing is.
-func (g *Core) Measure(told func(maintenance.Load)) {
-	g.meter = &meter{taken: newRing(), boxes: map[string]*held{}, told: told}
+func (g *Core) Measure(told func(load maintenance.Load, fills float64)) {
+	g.meter = &meter{taken: newRing(), fills: router.NewRing(fillSpan, 8), boxes: map[string]*held{}, told: told}
 }
 
 // take counts a download that was taken.
@@ -49,6 +51,8 @@
 	h.pulls.Add(now, 1)
 	if note == router.Held || note == router.HeldOld {
 		h.held.Add(now, 1)
+	} else {
+		m.fills.Add(now, 1)
 	}
 }
 
@@ -66,5 +70,5 @@
 			delete(m.boxes, name)
 		}
 	}
-	m.told(l)
+	m.told(l, m.fills.Sum(now)/(fillSpan/1000))
 }
--- a/internal/purges/book.go
+++ b/internal/purges/book.go
@@ -46,6 +46,8 @@
 	There       bool    `cbor:"2,keyasint"`
 	Since       float64 `cbor:"3,keyasint"` // when the log last said so, by its own time
 	Seen        uint64  `cbor:"4,keyasint"` // it goes by all that went out up to there
+	Misses      float64 `cbor:"5,keyasint"` // fills a second that it asked for
+	Told        float64 `cbor:"6,keyasint"` // when it said so
 }
 
 // Bounds.
@@ -106,6 +108,8 @@
 		return errors.New("skew: over a quarter of delay")
 	case !finite(l.Rate):
 		return errors.New("rate: not a number")
+	case !finite(l.Fills) || l.Fills > 0 && l.Rate == 0:
+		return errors.New("fills: needs a rate, as nothing waits where all goes out at once")
 	case l.Batch < 1 || l.Batch > mostObjects:
 		return fmt.Errorf("batch: 1 to %d", mostObjects)
 	case l.Held < 16 || l.Held > mostHeld:
@@ -124,7 +128,7 @@
 		if old.Incarnation != incarnation {
 			old.Seen = 0
 		}
-		b.Gateways[name] = Gateway{Incarnation: incarnation, There: there, Since: b.Now, Seen: old.Seen}
+		b.Gateways[name] = Gateway{Incarnation: incarnation, There: there, Since: b.Now, Seen: old.Seen, Misses: old.Misses, Told: old.Told}
 	}
 	b.settle()
 }
@@ -150,6 +154,11 @@
 			g.Seen = max(g.Seen, min(o.Index, index))
 			b.Gateways[o.From] = g
 		}
+	case Misses:
+		if g := b.Gateways[o.From]; g.Incarnation != 0 && o.Rate >= 0 && !math.IsInf(o.Rate, 1) {
+			g.Misses, g.Told = o.Rate, b.Now
+			b.Gateways[o.From] = g
+		}
 	case Tick:
 	default:
 		return ErrBad
@@ -314,6 +323,29 @@
 // Effective is when no answer anywhere comes from an older copy any more, at the latest: told at its acceptance.
 func (s *State) Effective() float64 { return s.due(len(s.Purge.Objects)) + s.Limits.Delay }
 
+// recent is for how long, in ms, what a gateway said of its misses counts.
+const recent = 5000.0
+
+// misses are the fills a second that all gateways together ask for, as far as they have said lately.
+func (b *Book) misses() (sum float64) {
+	for _, g := range b.Gateways {
+		if g.There && b.Now < g.Told+recent {
+			sum += g.Misses
+		}
+	}
+	return sum
+}
+
+// Paces tells whether the gateways are to say what they miss: some purge waits for that.
+func (b *Book) Paces() bool {
+	for _, s := range b.Purges {
+		if s.Stage == Going && s.Limits.Fills > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // NextBatch is what is to go out next by the pace that the limits give; late tells that whoever leads is to send it, as its owner did not.
 func (b *Book) NextBatch(now float64) (o Order, due, late bool) {
 	var first *State
@@ -325,6 +357,10 @@
 	if first == nil || now < first.due(first.Next) {
 		return o, false, false
 	}
+	// A mass purge must not push hubs and core over, so what is missed holds up the next batch; but no longer than until the delay would not hold.
+	if l := first.Limits; l.Fills > 0 && b.misses() > l.Fills && !first.overdue(first.Next, now) {
+		return o, false, false
+	}
 	return Order{At: now, ID: first.Purge.ID, First: first.Next, Next: min(len(first.Purge.Objects), first.Next+first.Limits.Batch)}, true, first.overdue(first.Next, now)
 }
 
--- a/internal/purges/door.go
+++ b/internal/purges/door.go
@@ -25,6 +25,7 @@
 	Rate  float64 `cbor:"3,keyasint" json:"rate"`     // objects a second that go out; 0: all at once
 	Batch int     `cbor:"4,keyasint" json:"batch"`    // objects that go out together
 	Held  int     `cbor:"5,keyasint" json:"held"`     // bounds of objects and groups that are remembered one by one; past them the oldest become a bound for all
+	Fills float64 `cbor:"6,keyasint" json:"fills"`    // a second, of all gateways together, past which the next batch waits; 0: never
 }
 
 // DefaultLimits are limits for a site on a local network.
@@ -48,6 +49,7 @@
 	Accept = "accept" // purge, limits
 	Batch  = "batch"  // id, first, next, owned: those of its objects go out
 	Cancel = "cancel" // id
+	Misses = "misses" // from, rate: fills a second that it asked for, as edge caches did not hold what was wanted
 	Seen   = "seen"   // from, index: that gateway goes by all that went out up to there
 	Tick   = "tick"   // at
 )
@@ -63,6 +65,7 @@
 	Owned  uint64  `cbor:"7,keyasint,omitempty"` // the token under which its sender owns the sending of batches
 	From   string  `cbor:"8,keyasint,omitempty"`
 	Index  uint64  `cbor:"9,keyasint,omitempty"`
+	Rate   float64 `cbor:"10,keyasint,omitempty"`
 }
 
 // Mark is one bound, as the gateways' cores take it.
--- a/internal/purges/drive/sweep.go
+++ b/internal/purges/drive/sweep.go
@@ -5,7 +5,9 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -28,6 +30,7 @@
 const (
 	lookEvery = 50.0
 	tickEvery = 500.0
+	tellEvery = 1000.0 // what this gateway misses
 )
 
 // Core is what a gateway's core does for its part: Void has it go by marks from now on; done is called, once, from its loop, when it does.
@@ -37,6 +40,9 @@
 	Known(ago float64)
 }
 
+// Misses is word of the core how many fills a second it asked for, as edge caches did not hold what was wanted.
+type Misses struct{ Rate float64 }
+
 // gone is word of the core that it goes by all marks up to a place.
 type gone struct{ index uint64 }
 
@@ -56,6 +62,8 @@
 	handed  uint64             // the last place whose marks the core was handed
 	goes    uint64             // and by which it goes
 	told    map[string]purges.Stage
+	misses  float64
+	missAt  float64 // when the log may be told of them again
 }
 
 // book words the log's commands for purges.Book.
@@ -106,6 +114,8 @@
 		s.stand = e
 		s.hand(e.Restored)
 		s.tell()
+	case Misses:
+		s.misses = e.Rate
 	case gone:
 		s.goes = max(s.goes, e.index)
 	default: // time, or what is another part's
@@ -140,6 +150,10 @@
 	if !s.block.On || !s.book.Open() {
 		return
 	}
+	if s.book.Paces() && s.now >= s.missAt {
+		s.missAt = s.now + tellEvery
+		s.propose(purges.Misses, "", purges.Order{At: unix(), From: s.stand.Name, Rate: s.misses})
+	}
 	if s.stand.Leads {
 		if !s.crew.Has(Sender) && s.block.Limits.Rate > 0 {
 			s.order(owned.Book, owner.Start, "", owner.Job{Name: Sender, Kind: owned.Hold, Steps: 1, Window: 1})
@@ -221,6 +235,16 @@
 	return p
 }
 
+// Follower is a gateway for people: how far it goes by what went out.
+type Follower struct {
+	Name    string  `json:"name"`
+	There   bool    `json:"there"`
+	Since   float64 `json:"since"` // when the log last said so, Unix ms
+	Seen    uint64  `json:"seen"`  // it goes by all up to there
+	Follows bool    `json:"follows"`
+	Misses  float64 `json:"misses"` // fills a second that it last said to ask for
+}
+
 // Tell answers a person.
 func (s *Sweep) Tell(about, name string) (any, error) {
 	switch about {
@@ -234,6 +258,13 @@
 			return s.purge(x), nil
 		}
 		return nil, fmt.Errorf("purge %q: %w", name, purges.ErrUnknown)
+	case "purge followers":
+		all := []Follower{}
+		for _, name := range slices.Sorted(maps.Keys(s.book.Gateways)) {
+			g := s.book.Gateways[name]
+			all = append(all, Follower{Name: name, There: g.There, Since: g.Since, Seen: g.Seen, Follows: g.Seen >= s.book.Last, Misses: g.Misses})
+		}
+		return map[string]any{"last": s.book.Last, "gateways": all}, nil
 	case "purges":
 		all := []Purge{}
 		for _, x := range s.book.All() {
--- a/internal/purges/purges_test.go
+++ b/internal/purges/purges_test.go
@@ -269,6 +269,45 @@
 	}
 }
 
+// A batch waits while the gateways that are there miss more than may be, by what they said lately, and goes out all the same once the delay
+// would else not hold.
+func TestBatchesWaitForFills(t *testing.T) {
+	b := New()
+	for i, g := range []string{"g1", "g2", "g3"} {
+		b.Member(g, uint64(i+1), true)
+	}
+	l := Limits{Delay: 8000, Skew: 100, Rate: 10, Batch: 2, Held: 100, Fills: 50}
+	b.give(10, Accept, Order{At: 1000, Purge: &Purge{ID: "p", Objects: []string{"a", "b", "c", "d", "e"}}, Limits: &l})
+	due := func(now float64) bool { _, is, _ := b.NextBatch(now); return is }
+	if !b.Paces() || !due(1000) {
+		t.Error("nobody misses anything, and nothing is due")
+	}
+	b.give(11, Misses, Order{At: 1000, From: "g1", Rate: 30})
+	b.give(12, Misses, Order{At: 1000, From: "g2", Rate: 20})
+	if !due(1000) {
+		t.Error("waits at what may be")
+	}
+	b.give(13, Misses, Order{At: 1000, From: "g3", Rate: 1})
+	if due(1000) || due(2999) {
+		t.Error("due past what may be missed")
+	}
+	if !due(3000) {
+		t.Error("the delay does not hold any more, and it waits")
+	}
+	b.Member("g1", 1, false)
+	if !due(1000) {
+		t.Error("waits for what a lost one missed")
+	}
+	b.Member("g1", 1, true)
+	b.give(14, Tick, Order{At: 6001})
+	if !due(1000) {
+		t.Error("waits for what was missed long ago")
+	}
+	if r := b.give(15, Misses, Order{From: "nobody", Rate: 1e6}); r != nil || b.misses() > 0 {
+		t.Errorf("of nobody: %v, %v", r, b.misses())
+	}
+}
+
 // What is wrong is told by its field.
 func TestRefusals(t *testing.T) {
 	for want, p := range map[string]Purge{
@@ -280,7 +319,7 @@
 			t.Errorf("%s: %v", want, err)
 		}
 	}
-	for want, l := range map[string]Limits{"delay": {Delay: 1}, "skew": {Delay: 1000, Skew: 500}, "rate": {Delay: 1000, Rate: math.Inf(1)},
+	for want, l := range map[string]Limits{"delay": {Delay: 1}, "skew": {Delay: 1000, Skew: 500}, "rate": {Delay: 1000, Rate: math.Inf(1)}, "fills": {Delay: 1000, Fills: 5},
 		"batch": {Delay: 1000}, "held": {Delay: 1000, Batch: 1}} {
 		if err := l.Check(); err == nil || !strings.HasPrefix(err.Error(), want) {
 			t.Errorf("%s: %v", want, err)
--- a/internal/rehearsal/script/fields.go
+++ b/internal/rehearsal/script/fields.go
@@ -112,6 +112,12 @@
 		op.Attr("replace", op.Span(&q.Replace, time.Second, time.Hour)), op.Attr("warm", op.Whole(&q.Warm, 0, 1000))}
 }
 
+func (p *Purges) fields() []op.Field {
+	*p = Purges{On: true, Delay: 5000, Skew: 100, Batch: 200}
+	return []op.Field{op.Attr("delay", op.Span(&p.Delay, 500*time.Millisecond, time.Hour)), op.Attr("skew", op.Span(&p.Skew, 0, time.Minute)),
+		op.Attr("rate", op.Number(&p.Rate, 0, 1e6)), op.Attr("batch", op.Whole(&p.Batch, 1, 8192)), op.Attr("fills", op.Number(&p.Fills, 0, 1e9))}
+}
+
 func (j *Job) fields() []op.Field {
 	return []op.Field{op.Must("at", op.Span(&j.At, 0, 24*time.Hour)), op.Attr("type", op.OneOf(&j.Type, "safe", "keyed", "unsafe")),
 		op.Attr("steps", op.Whole(&j.Steps, 1, 100_000)), op.Attr("window", op.Whole(&j.Window, 1, 256)), op.Attr("places", op.Whole(&j.Places, 0, 1024))}
@@ -134,7 +140,7 @@
 		op.Attr("on", op.OneOf(&e.On, deeds[e.Do]...)), op.Attr("name", op.Text(&e.Name)), op.Attr("share", op.Share(&e.Share)),
 		op.Attr("count", op.Whole(&e.Count, 1, 10_000)), op.Attr("factor", op.Number(&e.Factor, 0.001, 1e4)),
 		op.Attr("over", op.Span(&e.Over, 0, 24*time.Hour)), op.Attr("same_address", op.Flag(&e.SameAddress)),
-		op.Attr("delay", op.Span(&e.Delay, 0, longest)), op.Attr("groups", op.Whole(&e.Groups, 1, 256)), op.Attr("club", op.Text(&e.Club)),
+		op.Attr("delay", op.Span(&e.Delay, 0, longest)), op.Attr("groups", op.Whole(&e.Groups, 1, 256)), op.Attr("by", op.OneOf(&e.By, "channel", "gateways")), op.Attr("club", op.Text(&e.Club)),
 		op.Attr("kiosks", op.Whole(&e.Kiosks, 1, 10_000)), op.Attr("member", op.Text(&e.Member)),
 		op.Attr("one_way", op.Flag(&e.OneWay)), op.Attr("disk", op.OneOf(&e.Disk, "kept", "lost", "old")),
 		op.Check(e.whole)}
@@ -143,12 +149,12 @@
 // whole checks that an event says all that it needs, and nothing that would be passed over in silence.
 func (e *Event) whole() error {
 	uses := map[string]string{"slow": "factor", "traffic": "factor", "large": "factor share", "fail": "share", "lose": "share", "cut": "share",
-		"once": "share", "lag": "delay", "storm": "kiosks club member", "purge": "share groups", "replace": "over same_address", "drain": "over",
+		"once": "share", "lag": "delay", "storm": "kiosks club member", "purge": "share groups by", "replace": "over same_address", "drain": "over",
 		"kill": "over disk", "part": "one_way", "restart": "over", "forge": "factor"}
 	given := map[string]bool{"factor": e.Factor != 0, "delay": e.Delay != 0, "kiosks": e.Kiosks != 0, "club": e.Club != "",
 		"groups": e.Groups != 0, "over": e.Over != 0, "same_address": e.SameAddress, "member": e.Member != "",
-		"one_way": e.OneWay, "disk": e.Disk != ""}
-	for _, name := range []string{"factor", "delay", "kiosks", "club", "groups", "over", "same_address", "member", "one_way", "disk"} {
+		"one_way": e.OneWay, "disk": e.Disk != "", "by": e.By != ""}
+	for _, name := range []string{"factor", "delay", "kiosks", "club", "groups", "over", "same_address", "member", "one_way", "disk", "by"} {
 		if given[name] && !slices.Contains(strings.Fields(uses[e.Do]), name) {
 			return fmt.Errorf("%s takes no %s", e.Do, name)
 		}
--- a/internal/rehearsal/script/script.go
+++ b/internal/rehearsal/script/script.go
@@ -35,11 +35,19 @@
 	Links       Links
 	Fair        Fair
 	Quorum      Quorum
+	Purges      Purges
 	Jobs        []Job
 	Phases      []Phase
 	Events      []Event
 }
 
+// Purges are what the operator's file says of purges that the gateways agree on; ms where they are times.
+type Purges struct {
+	On                       bool
+	Delay, Skew, Rate, Fills float64
+	Batch                    int
+}
+
 // Box is what edge caches or hubs are like.
 type Box struct {
 	Count         int
@@ -177,6 +185,7 @@
 	Kiosks         int
 	Member         string // of whom kiosks are
 	OneWay         bool   // what goes out of those chosen is cut, what comes in is not
+	By             string // of a purge: the channel, or the gateways themselves
 	Disk           string // of a gateway that is killed: kept, lost, or old: as it was when it was copied
 }
 
@@ -266,6 +275,7 @@
 	err := operator.Parse(text, file, append(s.common(), operator.Attr("site", operator.Text(&site)),
 		operator.Must("about", operator.Text(&s.About)), operator.Attr("seed", operator.Whole(&s.Seed, 0, 1<<30)),
 		operator.One("links", s.Links.fields), operator.One("fair", s.Fair.fields), operator.One("quorum", s.Quorum.fields),
+		operator.One("purges", s.Purges.fields),
 		operator.Block("phase", []string{"name"}, func(labels []string, _ int) ([]operator.Field, error) {
 			p := Phase{Name: labels[0]}
 			if n := len(s.Phases); n > 0 {
@@ -323,6 +333,9 @@
 			return fmt.Errorf("job %s comes at %v ms, past the end at %v ms", j.Name, j.At, s.Length())
 		}
 	}
+	if s.Purges.On && !s.Quorum.On {
+		return errors.New("purges needs the block quorum")
+	}
 	for _, e := range s.Events {
 		if e.At >= s.Length() {
 			return fmt.Errorf("event %s of line %d comes at %v ms, past the end at %v ms", e.Do, e.Line, e.At, s.Length())
@@ -330,6 +343,9 @@
 		if !s.Quorum.On && (slices.Contains([]string{"part", "copy", "fill_disk", "delay", "reset"}, e.Do) || e.Disk != "") {
 			return fmt.Errorf("event %s of line %d needs the block quorum", e.Do, e.Line)
 		}
+		if e.By == "gateways" && !s.Purges.On {
+			return fmt.Errorf("event %s of line %d needs the block purges", e.Do, e.Line)
+		}
 		if s.Links.Life == 0 && slices.Contains([]string{"forge", "rotate", "withdraw"}, e.Do) {
 			return fmt.Errorf("event %s of line %d needs the block links", e.Do, e.Line)
 		}
--- a/internal/rehearsal/sockets/relay.go
+++ b/internal/rehearsal/sockets/relay.go
@@ -74,7 +74,11 @@
 	if n < q.Voters {
 		text += "  founders = [" + strings.Join(founders, ", ") + "]\n"
 	}
-	return text + fmt.Sprintf("}\njobs {\n  effect = \"1s\"\n  again = \"500ms\"\n  hold = \"500ms\"\n  warm_rounds = %d\n}\n", q.Warm)
+	purges := ""
+	if p := r.stage.script.Purges; p.On {
+		purges = fmt.Sprintf("purges {\n  delay = \"%.0fms\"\n  skew = \"%.0fms\"\n  rate = %g\n  fills = %g\n  batch = %d\n}\n", p.Delay, p.Skew, p.Rate, p.Fills, p.Batch)
+	}
+	return text + fmt.Sprintf("}\njobs {\n  effect = \"1s\"\n  again = \"500ms\"\n  hold = \"500ms\"\n  warm_rounds = %d\n}\n", q.Warm) + purges
 }
 
 func (r *relays) accept(l *net.TCPListener, from, to int) {
--- a/internal/rehearsal/sockets/stage.go
+++ b/internal/rehearsal/sockets/stage.go
@@ -273,6 +273,8 @@
 			}
 		case world.Work:
 			s.spawn(func() { s.work(a.Job) })
+		case world.Withdraw:
+			s.spawn(func() { s.withdraw(a) })
 		case world.Freeze:
 			s.gateways[a.Gateway].freeze(!a.Thaw)
 		case world.Slow:
--- a/internal/rehearsal/sockets/work.go
+++ b/internal/rehearsal/sockets/work.go
@@ -17,6 +17,8 @@
 	"poppymill/internal/owner"
 	owned "poppymill/internal/owner/drive"
 	"poppymill/internal/owner/place"
+	"poppymill/internal/purges"
+	sweep "poppymill/internal/purges/drive"
 	"poppymill/internal/quorum"
 	"poppymill/internal/quorum/drive"
 	"poppymill/internal/rehearsal/script"
@@ -97,6 +99,41 @@
 	}
 }
 
+// withdraw asks one gateway after another for a purge, until one says that it was accepted, and tells what has to hold from then on.
+func (s *Stage) withdraw(a world.Withdraw) {
+	p, x := purges.Purge{ID: a.ID, Objects: a.Objects, Groups: a.Groups}, sweep.Purge{}
+	for i := 0; s.ctx.Err() == nil && x.Purge.ID == ""; i++ {
+		g := i % len(s.gateways)
+		var l purges.Limits
+		if r, err := s.Put(g, drive.Question{About: "purge limits"}, time.Second); err == nil && r.Error == "" && json.Unmarshal(r.Body, &l) == nil {
+			o := purges.Order{At: float64(time.Now().UnixMilli()), Purge: &p, Limits: &l}
+			command := &quorum.Command{Book: sweep.Book, Kind: purges.Accept, Data: canon.Encode(o)}
+			if r, err := s.Put(g, drive.Question{Command: command, About: "purge", Name: a.ID}, 2*time.Second); err == nil && r.Error == "" && json.Unmarshal(r.Body, &x) == nil {
+				break
+			}
+		}
+		select {
+		case <-time.After(50 * time.Millisecond):
+		case <-s.ctx.Done():
+		}
+	}
+	if x.Purge.ID == "" || s.Facts == nil {
+		return
+	}
+	epoch := float64(s.start.UnixMicro()) / 1000
+	s.Do(func(*world.World) {
+		f := world.Purging{Group: -1, When: x.Accepted - epoch, By: x.Effective - epoch}
+		for _, f.Object = range p.Objects {
+			s.Facts(f)
+		}
+		f.Object = ""
+		for _, g := range p.Groups {
+			f.Group = int(g)
+			s.Facts(f)
+		}
+	})
+}
+
 // Stopped tells whether a gateway's process stands still, as one does that stopped itself at a failpoint.
 func (s *Stage) Stopped(gateway int) (stopped bool) {
 	s.Do(func(*world.World) {
--- a/internal/rehearsal/world/door.go
+++ b/internal/rehearsal/world/door.go
@@ -113,6 +113,12 @@
 	}
 	// Work asks the gateways for a job on behalf of all.
 	Work struct{ Job script.Job }
+	// Withdraw asks the gateways to purge objects, or groups, by themselves.
+	Withdraw struct {
+		ID      string
+		Objects []string
+		Groups  []int64
+	}
 	Term struct{ Gateway int }
 	Hup  struct{ Gateway int }
 )
--- a/internal/rehearsal/world/happen.go
+++ b/internal/rehearsal/world/happen.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"math"
 	"slices"
 
@@ -219,16 +220,27 @@
 		w.list.lag += e.Delay
 		w.until(e, func() { w.list.lag -= e.Delay })
 	case "purge":
+		by := Withdraw{ID: fmt.Sprintf("purge-%d-%.0f", e.Number, w.now)}
 		for g := range e.Groups {
-			w.purge("", int(w.draws.key("purged", e.Number, g)%256))
+			by.Groups = append(by.Groups, int64(w.draws.key("purged", e.Number, g)%256))
 		}
 		for i, t := range w.types {
 			for n := range int(e.Share * float64(t.Objects)) {
 				if !t.Write {
-					w.purge(w.draws.id("object", i, n), -1)
+					by.Objects = append(by.Objects, w.draws.id("object", i, n))
 				}
 			}
 		}
+		if e.By == "gateways" {
+			w.act(by)
+			return
+		}
+		for _, g := range by.Groups {
+			w.purge("", int(g))
+		}
+		for _, o := range by.Objects {
+			w.purge(o, -1)
+		}
 	case "break":
 		w.act(Channel{How: Broken})
 	case "mute":
