--- a/internal/rehearsal/sockets/machines_test.go
+++ b/internal/rehearsal/sockets/machines_test.go
@@ -315,9 +315,17 @@
 		old := y.number(first.Owner)
 		y.arm(old, "stop", where, 1)
 		some := []string{"m-" + y.boxes[0], "m-" + y.boxes[1], "m-" + y.boxes[2]}
+		// It may stop itself while the requests are still asked for: the stage is told at once, as what it has open is excused from then on.
+		frozen := make(chan bool)
+		go func() {
+			defer close(frozen)
+			for end := time.Now().Add(20 * time.Second); !y.stage.Stopped(old) && time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+			}
+			y.happen(script.Event{Do: "freeze", Name: y.names[old], For: 5000})
+		}()
 		y.asks(some...)
+		<-frozen
 		y.met(old)
-		y.happen(script.Event{Do: "freeze", Name: y.names[old], For: 5000})
 		y.untilJob(machines.Schedule, "another owns the schedule", func(j owner.Report) bool { return j.Token > first.Token && j.Owner != first.Owner })
 		y.mu.Lock()
 		y.lost = 1
