--- a/internal/gateway/void_test.go
+++ b/internal/gateway/void_test.go
@@ -122,16 +122,20 @@
 	if !done || w.core.void.shelf.Len() != 8000 {
 		t.Errorf("done %t, %d held", done, w.core.void.shelf.Len())
 	}
-	id := w.ask(w.clients[0], "video", 3, 3000)
+	id, sent := w.ask(w.clients[0], "video", 3, 3000), 0
 	for _, x := range w.lines {
 		x.deliver()
 		for len(x.open) > 0 {
 			x.open = x.open[1:]
+			sent++
 			body := buffer.NewChain(w.buffers)
 			w.core.Handle(caches.Answered{Wire: x, At: w.now, Reply: caches.Reply{Tag: id, Word: "DONE", Body: body,
 				Fields: fmt.Sprintf("res=warm,sum=00000000000000ab,t0=%.0f", w.now-1)}})
 		}
 	}
+	if sent == 0 || w.pool.Old == 0 {
+		t.Fatalf("%d pulls, %d answers were too old: nothing was looked at", sent, w.pool.Old)
+	}
 	if a := w.asked[id]; len(a.client.answers[a.number]) > 0 && a.client.answers[a.number][0].Status == 200 {
 		t.Error("answered by a copy of before")
 	}
--- a/internal/maintenance/drive/yard.go
+++ b/internal/maintenance/drive/yard.go
@@ -62,7 +62,6 @@
 	left    []string           // nodes that the core was told to leave
 	number  int                // how often it was told
 	clear   int                // the number up to which nothing is open there
-	clears  map[string]uint64  // machines that this gateway has left, with the token of their grant
 	there   map[string]bool    // nodes, by this gateway's list; nil: it has none
 	load    maintenance.Load   // what this gateway measured last
 	gauge   maintenance.Gauge
@@ -89,7 +88,7 @@
 
 // Open makes the part of a gateway. Without the block it follows what others do, and leaves machines that go all the same.
 func Open(b Block, crew *owned.Crew, core Core, log logrus.FieldLogger) *Yard {
-	return &Yard{block: b, book: maintenance.New(), crew: crew, core: core, log: log, open: map[string]float64{}, clears: map[string]uint64{},
+	return &Yard{block: b, book: maintenance.New(), crew: crew, core: core, log: log, open: map[string]float64{},
 		told: map[string]string{}, unix: func() float64 { return float64(time.Now().UnixMilli()) }}
 }
 
@@ -116,9 +115,7 @@
 	y.now = now
 	switch e := e.(type) {
 	case agreement.Followed:
-		if y.stand = e; e.Restored {
-			clear(y.clears)
-		}
+		y.stand = e
 		y.tell()
 		y.news = true
 	case maintenance.Load:
--- a/internal/purges/book.go
+++ b/internal/purges/book.go
@@ -13,7 +13,6 @@
 
 // Book is the state that the log's commands bring about.
 type Book struct {
-	Limits   Limits             `cbor:"1,keyasint"` // of the newest purge
 	Purges   map[string]*State  `cbor:"2,keyasint"`
 	Shelf    *Shelf             `cbor:"3,keyasint"`
 	Gateways map[string]Gateway `cbor:"4,keyasint"`
@@ -65,7 +64,7 @@
 // New makes an empty book.
 func New() *Book {
 	l := DefaultLimits()
-	return &Book{Limits: l, Purges: map[string]*State{}, Shelf: NewShelf(l.Held), Gateways: map[string]Gateway{}}
+	return &Book{Purges: map[string]*State{}, Shelf: NewShelf(l.Held), Gateways: map[string]Gateway{}}
 }
 
 // Check tells what is wrong with a purge, by field.
@@ -195,7 +194,7 @@
 	if open >= mostOpen || named > mostNamed {
 		return nil, ErrFull
 	}
-	b.Limits, b.Shelf.Most = *o.Limits, o.Limits.Held
+	b.Shelf.Most = o.Limits.Held
 	s := &State{Purge: *o.Purge, Limits: *o.Limits, Place: index, Accepted: b.Now}
 	b.Purges[s.Purge.ID] = s
 	if p := &s.Purge; p.Pattern != "" {
