--- a/internal/gateway/void.go
+++ b/internal/gateway/void.go
@@ -18,15 +18,11 @@
 	Done  func(index uint64)
 }
 
-// voids are the bounds that this gateway's core goes by, and how long it may go by them alone.
+// voids are what this gateway's core goes by (purges.View), and its clocks.
 type voids struct {
-	shelf *purges.Shelf
-	club  string
-	delay float64 // ms after which what is not known of binds; 0: nothing does, as the gateways agree on no purges
-	skew  float64
+	view  purges.View
 	now   func() float64 // the clock itself, as an event's own time is that of before this process was frozen
 	known func() float64 // until when, by that clock, all is known that was agreed
-	blind int            // pulls and answers for which it was not
 }
 
 // known is until when, by the core's clock, all is known that was agreed. The agreement's loop writes it, the core reads it.
@@ -35,15 +31,12 @@
 func (k *known) set(at float64) { k.bits.Store(math.Float64bits(at)) }
 func (k *known) at() float64    { return math.Float64frombits(k.bits.Load()) }
 
-// inTime is the part of the delay after which a gateway that can't hear takes older copies for purged: the rest is for an answer's way.
-const inTime = 0.75
-
 // Purges has the core go by purges that the gateways agree on. With a delay it takes copies that are older than it for purged while it does
 // not know what was agreed since.
 func (g *Core) Purges(club string, l purges.Limits, on bool, known, now func() float64) {
-	g.void = &voids{shelf: purges.NewShelf(l.Held), club: club, skew: l.Skew, now: now, known: known}
+	g.void = &voids{view: purges.View{Shelf: purges.NewShelf(l.Held), Club: club, Skew: l.Skew}, now: now, known: known}
 	if on {
-		g.void.delay = l.Delay
+		g.void.view.Delay = l.Delay
 	}
 	g.pool.Oldest = func(q *caches.Pull) float64 {
 		p, _ := q.Owner.(*pull)
@@ -54,19 +47,9 @@
 	}
 }
 
-// oldest is from which birth on a copy does for a download, by its how-manieth pull: where a purge only makes copies stale, all but the first
-// take what there is.
+// oldest is from which birth on a copy does for a download, by its how-manieth pull.
 func (v *voids) oldest(d *download, pull int) float64 {
-	hard, soft := v.shelf.Bound(v.club, d.object, d.group)
-	if now := v.now(); v.delay > 0 && now-v.known() > inTime*v.delay {
-		// A purge that was accepted since it last knew, and binds by now, was accepted that long ago: what was born after that is not of it.
-		hard = max(hard, now-inTime*v.delay+v.skew)
-		v.blind++
-	}
-	if pull == 0 {
-		return max(hard, soft)
-	}
-	return hard
+	return v.view.Oldest(v.now(), v.known(), d.object, d.group, pull == 0)
 }
 
 // bound makes a pull ask for no older copy than does.
@@ -86,7 +69,7 @@
 	if v == nil {
 		return 0
 	}
-	return v.blind
+	return v.view.Blinds
 }
 
 // fewMarks is up to how many marks at a time the router is told of as well, which forgets what it believes parents to hold. It looks through all
@@ -97,7 +80,7 @@
 	named := map[string]bool{}
 	groups := map[int64]bool{}
 	for _, m := range e.Marks {
-		if g.void.shelf.Put(m); m.Club != "" && m.Club != g.void.club || m.Stale || len(e.Marks) > fewMarks {
+		if g.void.view.Shelf.Put(m); m.Club != "" && m.Club != g.void.view.Club || m.Stale || len(e.Marks) > fewMarks {
 			continue
 		}
 		switch age := max(0, g.now-m.At); {
--- a/internal/gateway/void_test.go
+++ b/internal/gateway/void_test.go
@@ -119,8 +119,8 @@
 	}
 	done := false
 	w.core.Handle(Void{Marks: marks, Index: 1, At: w.now, Done: func(uint64) { done = true }})
-	if !done || w.core.void.shelf.Len() != 8000 {
-		t.Errorf("done %t, %d held", done, w.core.void.shelf.Len())
+	if !done || w.core.void.view.Shelf.Len() != 8000 {
+		t.Errorf("done %t, %d held", done, w.core.void.view.Shelf.Len())
 	}
 	id, sent := w.ask(w.clients[0], "video", 3, 3000), 0
 	for _, x := range w.lines {
--- a/internal/purges/book.go
+++ b/internal/purges/book.go
@@ -363,6 +363,13 @@
 	return Order{At: now, ID: first.Purge.ID, First: first.Next, Next: min(len(first.Purge.Objects), first.Next+first.Limits.Batch)}, true, first.overdue(first.Next, now)
 }
 
+// Sends is the batch that a gateway is to send now, if any: the owner's as it is due, and whoever leads one that the owner left lying.
+func (b *Book) Sends(now float64, token uint64, owns, leads bool) (Order, bool) {
+	o, due, late := b.NextBatch(now)
+	o.Owned = token
+	return o, due && (owns || late && leads)
+}
+
 // Open tells whether some purge is not over.
 func (b *Book) Open() bool {
 	for _, s := range b.Purges {
--- a/internal/purges/drive/sweep.go
+++ b/internal/purges/drive/sweep.go
@@ -164,8 +164,7 @@
 		}
 	}
 	token, owns := s.crew.Owns(Sender)
-	if o, due, late := s.book.NextBatch(unix()); due && (owns || late && s.stand.Leads) {
-		o.Owned = token
+	if o, is := s.book.Sends(unix(), token, owns, s.stand.Leads); is {
 		s.propose(purges.Batch, fmt.Sprint(o.ID, o.First), o)
 	}
 }
