--- a/internal/purges/book.go
+++ b/internal/purges/book.go
@@ -20,7 +20,8 @@
 	Owned    uint64             `cbor:"6,keyasint"` // the highest token under which batches were sent
 	Last     uint64             `cbor:"7,keyasint"` // the place in the log at which something went out last
 
-	news []Mark // what went out since it was last taken
+	news    []Mark // what went out since it was last taken
+	changes uint64 // how often something may have changed, so that nobody has to look through all for each entry of the log
 }
 
 // State is one purge.
@@ -120,6 +121,7 @@
 // Member is word of a gateway in its place in the log. A new process goes by what it has read of the log, and says so itself.
 func (b *Book) Member(name string, incarnation uint64, there bool) {
 	old := b.Gateways[name]
+	b.changes++
 	switch {
 	case incarnation == 0 && !there:
 		delete(b.Gateways, name)
@@ -139,6 +141,7 @@
 		return ErrBad
 	}
 	b.Now = max(b.Now, o.At)
+	b.changes++
 	var s *State
 	var err error
 	switch kind {
@@ -406,6 +409,9 @@
 	return slices.SortedFunc(maps.Values(b.Purges), func(x, y *State) int { return int(int64(x.Place) - int64(y.Place)) })
 }
 
+// Changes counts up whenever something of it may have changed.
+func (b *Book) Changes() uint64 { return b.changes }
+
 // News are the marks that went out since it was last asked.
 func (b *Book) News() []Mark {
 	n := b.news
@@ -430,6 +436,7 @@
 			return fmt.Errorf("purges: %w", err)
 		}
 	}
+	n.changes = b.changes + 1
 	*b = *n
 	return nil
 }
--- a/internal/purges/drive/sweep.go
+++ b/internal/purges/drive/sweep.go
@@ -62,6 +62,7 @@
 	handed  uint64             // the last place whose marks the core was handed
 	goes    uint64             // and by which it goes
 	told    map[string]purges.Stage
+	changes uint64 // of the book, when it last told
 	misses  float64
 	missAt  float64 // when the log may be told of them again
 }
@@ -186,6 +187,10 @@
 
 // tell writes a line for each purge that came to another stage.
 func (s *Sweep) tell() {
+	if s.changes == s.book.Changes() {
+		return
+	}
+	s.changes = s.book.Changes()
 	for id, x := range s.book.Purges {
 		if was, known := s.told[id]; !known || was != x.Stage {
 			s.told[id] = x.Stage
