A client's connection ends in order: nothing read in that moment is taken, no reset of answers

(2) Conn.write closed the socket straight after the last answer: bytes of the client that nobody had read made that a reset, which takes along what of the answer the system still held. (3) Server.End told those connections that it found; one accepted meanwhile was never told. (4) one request written slowly (2 s) closed the connection over the answers to others.

Change: Conn.shut is set in the moment of the decision and under the same lock; the writing half closes first, the reader reads on for 250 ms at the most; flags for what comes later; a useful connection answers what is open first.

--- a/internal/clients/serve.go
+++ b/internal/clients/serve.go
@@ -35,6 +35,8 @@
 	open    atomic.Int64
 	mu      sync.Mutex
 	conns   map[*Conn]bool
+	ending  bool // what comes now is answered and ends with that
+	over    bool // nothing that comes now is taken
 }
 
 // What a client is given before its connection counts as of no use, in ms: to come to its point (it is owed an end
@@ -46,9 +48,15 @@
 	sweepEvery  = 250 * time.Millisecond
 )
 
+// lingerFor bounds how long a connection is read on after its last answer. What its client had sent meanwhile would, unread at
+// the close, have the system reset the connection, and that takes along what of the answer is still on its way.
+const lingerFor = 250 * time.Millisecond
+
 // Serve takes connections until the listener closes, and returns once they all have ended.
 func (s *Server) Serve(ctx context.Context, l net.Listener) error {
+	s.mu.Lock() // it may have been told to end before this
 	s.conns = map[*Conn]bool{}
+	s.mu.Unlock()
 	var g errgroup.Group
 	over, swept := make(chan struct{}), make(chan struct{})
 	go func() {
@@ -86,6 +94,9 @@
 		c.machine.Keep = s.Keep
 		s.mu.Lock()
 		s.conns[c] = true
+		if c.last, c.shut = s.ending, s.over; c.shut {
+			c.stir()
+		}
 		s.mu.Unlock()
 		g.Go(func() error { c.write(); return nil })
 		g.Go(func() error { c.read(); return nil })
@@ -114,9 +125,12 @@
 	for c := range s.conns {
 		c.mu.Lock()
 		own := 1
-		if !c.useful && now-c.since > young {
+		switch {
+		case c.shut:
+			own = -1
+		case !c.useful && now-c.since > young:
 			own = 0
-		} else if !c.useful {
+		case !c.useful:
 			own = 2
 		}
 		if c.idle() && (least == nil || own < rank || own == rank && c.since < since) {
@@ -125,8 +139,10 @@
 		c.mu.Unlock()
 	}
 	full = len(s.conns) >= s.Most
-	if full && least != nil {
+	if full && least != nil && least.stop(false) {
 		delete(s.conns, least)
+	} else if full {
+		least = nil
 	}
 	s.mu.Unlock()
 	if !full {
@@ -148,30 +164,61 @@
 	for c := range s.conns {
 		c.mu.Lock()
 		begun, unfinished := c.machine.Unfinished()
-		over := unfinished && now-begun > pointWithin
+		late := unfinished && now-begun > pointWithin
+		over, shut := late, c.shut
 		if c.idle() {
 			over = over || !c.useful && now-c.since > pointWithin || now-c.since > askAgain
 		}
+		useful := c.useful
 		c.mu.Unlock()
-		if over {
+		switch {
+		case !over || shut:
+		case late && !useful: // it is owed an end in time, whatever else it has asked
 			s.Shed.Add(1)
 			delete(s.conns, c)
+			c.stop(true)
 			c.nc.Close()
+		case c.stop(late):
+			s.Shed.Add(1)
 		}
 	}
 }
 
+// stop has a connection take nothing more: what is read from now on is thrown away. Without force it must be idle for that, which
+// is looked at in the same moment: a request that was read first is taken, and keeps its connection. Its writer ends it.
+func (c *Conn) stop(force bool) bool {
+	c.mu.Lock()
+	done := force || c.idle()
+	if done {
+		c.shut, c.last = true, true
+	}
+	c.mu.Unlock()
+	if done {
+		c.stir()
+	}
+	return done
+}
+
 // End closes every connection once nothing is open on it and what it was told is written.
-func (s *Server) End() {
+func (s *Server) End() { s.each(func(c *Conn) { c.last = true }, func() { s.ending = true }) }
+
+// Shut does the same, and takes nothing that comes from now on, nor what has come in part.
+func (s *Server) Shut() {
+	s.each(func(c *Conn) { c.last, c.shut = true, true }, func() { s.ending, s.over = true, true })
+}
+
+// each has all connections go another way, those there are and by now those to come.
+func (s *Server) each(now func(*Conn), later func()) {
 	s.mu.Lock()
 	conns := make([]*Conn, 0, len(s.conns))
 	for c := range s.conns {
 		conns = append(conns, c)
 	}
+	later()
 	s.mu.Unlock()
 	for _, c := range conns {
 		c.mu.Lock()
-		c.last = true
+		now(c)
 		c.mu.Unlock()
 		c.stir()
 	}
@@ -186,6 +233,7 @@
 	queue   []answer // at most one for each request that may be open, and the protocol's own
 	wake    chan struct{}
 	last    bool // it ends when nothing is open
+	shut    bool // nothing that is read from now on is taken
 	closed  bool
 	writing bool
 	useful  bool    // it has asked for something that could be read
@@ -241,6 +289,13 @@
 		n, err := c.nc.Read(b)
 		at := c.server.Now()
 		c.mu.Lock()
+		if c.shut {
+			c.mu.Unlock()
+			if err != nil {
+				return
+			}
+			continue
+		}
 		var bad error
 		found, bad = c.machine.Feed(b[:n], at, found[:0])
 		for _, e := range found {
@@ -284,14 +339,14 @@
 const slowest = 5 * time.Second
 
 func (c *Conn) write() {
-	defer c.nc.Close()
 	var pieces net.Buffers
 	var limit time.Time
 	for range c.wake {
 		c.mu.Lock()
 		todo, closed := c.queue, c.closed
 		c.queue, c.writing = nil, len(c.queue) > 0
-		finish := c.last && len(c.machine.open) == 0
+		finish := c.last && (len(c.machine.open) == 0 || c.shut && c.machine.Whole() == 0)
+		c.shut = c.shut || finish // in the same moment: what is read after it would have no answer
 		c.mu.Unlock()
 		if closed {
 			release(todo)
@@ -319,9 +374,23 @@
 		c.mu.Lock()
 		c.writing = false
 		c.mu.Unlock()
-		if err != nil || finish {
-			return // the reader finds the connection closed and ends it
+		if err != nil {
+			c.nc.Close() // the reader finds the connection closed and ends it
+			return
 		}
+		if finish {
+			c.part()
+			return
+		}
+	}
+}
+
+// part ends the writing half, after all that was written, and has the reader read on for a while: until its client has closed
+// too, which it finds, or until it has had its time.
+func (c *Conn) part() {
+	half, ok := c.nc.(interface{ CloseWrite() error })
+	if !ok || c.nc.SetReadDeadline(time.Now().Add(lingerFor)) != nil || half.CloseWrite() != nil {
+		c.nc.Close()
 	}
 }
 
