--- a/internal/channel/channel_test.go
+++ b/internal/channel/channel_test.go
@@ -164,6 +164,10 @@
 		{"spoilt twice", []string{plain + sent(3) + bad + sent(5) + "...", plain + bad + sent(5, 6) + "..."}, []int64{3, 5, 6}, []string{"2", "3"}, 1},
 		{"another number within", []string{plain + strings.Replace(sent(3), "id: 3", "id: 9", 1) + "...", plain + sent(3) + "..."},
 			[]int64{3}, []string{"2", "2"}, 0},
+		{"says nothing from the start", []string{"...", plain + sent(3) + "..."}, []int64{3}, []string{"2", "2"}, 0},
+		{"half a head, then nothing", []string{"HTTP/1.1 200 O...", plain + sent(3) + "..."}, []int64{3}, []string{"2", "2"}, 0},
+		{"half a line, then nothing", []string{plain + sent(3) + "id: 4\nda...", plain + sent(4) + "..."}, []int64{3, 4}, []string{"2", "3"}, 0},
+		{"an older one after a newer one, and a repeat", []string{plain + sent(3, 4) + sent(3) + sent(4, 5) + "..."}, []int64{3, 4, 5}, []string{"2"}, 0},
 		{"stops and stays open", []string{plain + sent(3) + "...", plain + sent(4) + "..."}, []int64{3, 4}, []string{"2", "3"}, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/gateway/core_test.go
+++ b/internal/gateway/core_test.go
@@ -461,6 +461,108 @@
 	}
 }
 
+// Whatever order lists come in, a pull goes only to what the newest word names, at the address that it names, and by a connection to the
+// process that it names: the model finds what comes to a node that drains or is gone.
+func TestListsThatCross(t *testing.T) {
+	c := config(t)
+	nodes := c.Known[0].Nodes
+	told := func(w *plain, scope router.Scope, list ...channel.Node) {
+		if scope != router.Changes {
+			for _, n := range nodes {
+				w.shut[n.Node] = true
+			}
+		}
+		for _, n := range list {
+			w.shut[n.Node] = n.State != router.Running
+		}
+		w.core.Handle(Told{News: channel.News{Scope: scope, Nodes: list}, At: w.now})
+	}
+	state := func(n channel.Node, s router.State) channel.Node {
+		n.State = s
+		return n
+	}
+	edges := []int{}
+	for i, n := range nodes {
+		if n.Kind == "box" {
+			edges = append(edges, i)
+		}
+	}
+	a, b, rest := nodes[edges[0]], nodes[edges[1]], nodes[edges[1]+1:]
+	for name, lists := range map[string]func(w *plain){
+		"a drain, then a whole list without it": func(w *plain) {
+			told(w, router.Changes, state(a, router.Draining))
+			told(w, router.Whole, append([]channel.Node{b}, rest...)...)
+		},
+		"a whole list, then a drain that had been overtaken": func(w *plain) {
+			told(w, router.Whole, append([]channel.Node{a, b}, rest...)...)
+			told(w, router.Changes, state(a, router.Draining))
+		},
+		"a whole list that is empty": func(w *plain) { told(w, router.Whole) },
+		"gone, and back at another address": func(w *plain) {
+			told(w, router.Changes, state(a, router.Gone))
+			other := a
+			other.Address, other.Booted = "127.0.0.1:5999", w.now
+			told(w, router.Changes, other, state(b, router.Gone))
+		},
+		"a new process at the same address": func(w *plain) {
+			other := a
+			other.Booted = w.now
+			told(w, router.Changes, other, state(b, router.Draining))
+		},
+		"a new cache at the address of one that has gone": func(w *plain) {
+			other := a
+			other.Node = "edge-9"
+			told(w, router.Changes, state(a, router.Gone), other, state(b, router.Gone))
+			w.shut[a.Node] = false // the model goes by addresses, and this one is the newcomer's
+		},
+	} {
+		w := newWorldOf(t, config(t))
+		for i := range 6 { // some are written, some wait
+			w.ask(w.clients[0], "video", i, 2000)
+			if i == 2 {
+				for _, l := range w.lines {
+					l.deliver()
+				}
+			}
+		}
+		before := len(w.lines)
+		lists(w)
+		for i := range 6 {
+			w.ask(w.clients[1], "video", 10+i, 2000)
+		}
+		for _, l := range w.lines {
+			l.deliver()
+		}
+		if strings.Contains(name, "address") {
+			for _, l := range w.lines[:before] {
+				for _, id := range l.open {
+					if a := w.asked[id]; a.client == w.clients[1] {
+						t.Errorf("%s: %s goes by a connection to the process before", name, id)
+					}
+				}
+			}
+		}
+		if name == "a whole list that is empty" {
+			for n := range 6 {
+				if got := w.told(fmt.Sprintf("%016x", 7+n)); got != "" && got != "503" {
+					t.Errorf("%s: told %s", name, got)
+				}
+			}
+		}
+		w.now += 10_000
+		w.core.Ring(w.now)
+		for _, l := range w.lines {
+			for len(l.open) > 0 && !l.gone {
+				w.answer(l, 0, "DONE")
+			}
+		}
+		w.settled()
+		for _, text := range w.wrong {
+			t.Errorf("%s: %s", name, text)
+		}
+	}
+}
+
 // A request that can't be read gets a failing answer and never reaches a node.
 func TestUnreadable(t *testing.T) {
 	w := newWorld(t)
