A request's idempotency key goes on to caches: deduped classes of other customers were a fault

Cause: seen on both new sites on the first pull of a deduped class: 'request ... is not as its client sent it (idempotency key)'; a trial that logged what clients bring shows one field more for these classes alone, X-Unique of 32 hex digits. Core.read and fields passed over it.

Change: taken as up to 64 letters, digits, - and _, refused by name otherwise, and written as token with every pull.

--- a/internal/gateway/core.go
+++ b/internal/gateway/core.go
@@ -93,6 +93,7 @@
 // download is one that was taken: until its one answer, and then until its last pull has ended.
 type download struct {
 	id, typ, object, mine string
+	key                   string // by which caches tell repeats of a deduped one; empty: its client brought none
 	client                Client
 	number                uint16 // on the client's connection
 	part, group           int64
@@ -282,9 +283,10 @@
 	g.Ring(now)
 	g.over = true
 	for _, id := range slices.Sorted(maps.Keys(g.downloads)) {
-		if d := g.downloads[id]; !d.answered && (d.link != nil && d.link.held != nil || d.share != nil && !d.share.admitted) {
-			g.Throttled++ // it never went out
+		if d := g.downloads[id]; !d.answered && len(d.pulls) == 0 {
+			g.Throttled++ // it never went out, so to try again does no harm
 			g.answer(d, clients.Answer{Status: 503, Wait: g.config.Advice})
+			g.event(router.Left{ID: d.id})
 		} else if !d.answered {
 			g.Abandoned++
 			g.answer(d, clients.Answer{Status: 500})
@@ -504,6 +506,11 @@
 	if _, told := params["HTTP_X_MINE"]; told && !hex(d.mine) {
 		return nil, fmt.Errorf("X-Mine: %.80q", d.mine)
 	}
+	if _, told := params["HTTP_X_UNIQUE"]; told {
+		if d.key = params["HTTP_X_UNIQUE"]; !word(d.key) {
+			return nil, fmt.Errorf("X-Unique: %.80q", d.key)
+		}
+	}
 	// Clients' time is rounded, and so is the settings': a tenth more than the longest expiry is still no mistake.
 	most := int64(1<<31 - 1) // of parts, as far as anybody can tell here
 	if !typ.Parts {
@@ -560,6 +567,19 @@
 	return true
 }
 
+// word tells whether an idempotency key is one that can't be taken for anything else among the fields of a command.
+func word(s string) bool {
+	if len(s) == 0 || len(s) > 64 {
+		return false
+	}
+	for i := range len(s) {
+		if c := s[i]; !(c >= '0' && c <= '9' || c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c == '-' || c == '_') {
+			return false
+		}
+	}
+	return true
+}
+
 func (g *Core) pull(a router.Pull) {
 	d := g.downloads[a.ID]
 	assert.That(d != nil, "a pull is for a download that was taken")
@@ -620,6 +640,9 @@
 	if d.mine != "" {
 		b = append(append(b, ",cached="...), d.mine...)
 	}
+	if d.key != "" {
+		b = append(append(b, ",token="...), d.key...)
+	}
 	return string(b)
 }
 
--- a/internal/gateway/core_test.go
+++ b/internal/gateway/core_test.go
@@ -372,6 +372,20 @@
 				w.fault("asked after the end and told %q", w.told(late))
 			}
 		}, "500"},
+		{"the end of the process, while another waits for a place at a cache", func(w *plain, l *line) {
+			for _, n := range w.core.config.Known[0].Nodes {
+				n.State = router.Draining
+				w.core.Handle(Told{News: channel.News{Nodes: []channel.Node{n}}, At: w.now})
+			}
+			waits := w.ask(w.clients[0], "renewal", 2, 500)
+			if got := w.told(waits); got != "" {
+				w.fault("it waits for nothing: %q", got)
+			}
+			w.core.End(w.now)
+			if got := w.told(waits); got != "503" {
+				w.fault("it never went out and is told %q", got)
+			}
+		}, "500"},
 		{"the connection breaks, a second pull is answered", func(w *plain, l *line) {
 			w.end(l)
 			next := w.lines[len(w.lines)-1]
@@ -563,6 +577,38 @@
 	}
 }
 
+// A gateway that starts holds to what is told of the past: a purge is in its first pull's limit, a drain keeps its first pull away.
+func TestStartsWithWhatIsKnown(t *testing.T) {
+	c := config(t)
+	drained := c.Known[0].Nodes[0]
+	drained.State = router.Draining
+	purge := channel.News{Purge: true, PurgeTime: 1e12 - 700}
+	purge.Purged.Object = fmt.Sprintf("%016x", 3)
+	c.Known = append(c.Known, channel.News{Nodes: []channel.Node{drained}}, purge)
+	w := newWorldOf(t, c)
+	w.shut[drained.Node] = true
+	for i := range 8 {
+		w.ask(w.clients[0], "video", i, 500)
+	}
+	limits := 0
+	for _, d := range w.core.downloads {
+		if strings.Contains(d.pulls[0].wire.Fields, "agelim=") {
+			if limits++; d.object != purge.Purged.Object || d.pulls[0].wire.MaxAge > 700 {
+				t.Errorf("%s: %s", d.object, d.pulls[0].wire.Fields)
+			}
+		}
+	}
+	if limits != 1 {
+		t.Errorf("%d pulls have a limit", limits)
+	}
+	for _, l := range w.lines {
+		l.deliver()
+	}
+	for _, text := range w.wrong {
+		t.Error(text)
+	}
+}
+
 // A request that can't be read gets a failing answer and never reaches a node.
 func TestUnreadable(t *testing.T) {
 	w := newWorld(t)
@@ -590,7 +636,8 @@
 	for _, c := range [][2]string{{"SCRIPT_NAME", "/invoke/odd"}, {"SCRIPT_NAME", ""}, {"HTTP_X_JOB_ID", ""},
 		{"HTTP_X_JOB_ID", "00000000000000,a"}, {"HTTP_X_ALLOW_MS", ""}, {"HTTP_X_ALLOW_MS", "NaN"}, {"HTTP_X_ALLOW_MS", "-1"},
 		{"HTTP_X_ITEM", "bb"}, {"HTTP_X_N", "-1"}, {"HTTP_X_N", ""}, {"HTTP_X_SHARD", "256"}, {"HTTP_X_SHARD", "x"},
-		{"HTTP_X_MINE", "a,next=b"}, {"HTTP_X_MINE", ""}, {"HTTP_X_ITEM", "00000000000000BB"},
+		{"HTTP_X_MINE", "a,next=b"}, {"HTTP_X_MINE", ""}, {"HTTP_X_UNIQUE", ""}, {"HTTP_X_UNIQUE", "a,next=b"}, {"HTTP_X_UNIQUE", "a=b"},
+		{"HTTP_X_UNIQUE", "a b"}, {"HTTP_X_UNIQUE", "a\r\nb"}, {"HTTP_X_UNIQUE", strings.Repeat("a", 65)}, {"HTTP_X_ITEM", "00000000000000BB"},
 		{"HTTP_X_ALLOW_MS", "6601"}, {"HTTP_X_ALLOW_MS", "5e2"}, {"HTTP_X_ALLOW_MS", "+500"}, {"HTTP_X_ALLOW_MS", "0500"},
 		{"HTTP_X_ALLOW_MS", " 500"}, {"HTTP_X_ALLOW_MS", "99999999999999999999"}, {"HTTP_X_N", "+1"}, {"HTTP_X_N", "1.0"},
 		{"HTTP_X_N", "2147483648"}, {"CONTENT_LENGTH", "1"}, {"CONTENT_LENGTH", "-0"}, {"CONTENT_LENGTH", "1e0"}} {
@@ -646,6 +693,10 @@
 			t.Errorf("%+v: %s, want %s", c.a, got, want)
 		}
 	}
+	d.mine, d.key = "", "A-0_f" // goes on unchanged, with every pull: caches tell repeats by it
+	if got, want := fields(d, router.Pull{Node: "a"}, 80.4), "kind=video,obj=00000000000000bb,seg=3,ms=80,token=A-0_f"; got != want {
+		t.Errorf("%s, want %s", got, want)
+	}
 }
 
 // What is due comes in its order, and what is no longer needed is not held on to.
