--- a/internal/footprint/config.go
+++ b/internal/footprint/config.go
@@ -5,8 +5,10 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math"
 	"net"
 	"os"
+	"slices"
 	"strconv"
 
 	"poppymill/internal/channel"
@@ -79,7 +81,12 @@
 		Effect string  `json:"effect"`
 		Target float64 `json:"promise"`
 		Aim    float64 `json:"aim_stretch"`
+		Scope  string  `json:"key_scope"`
+		Window float64 `json:"key_ttl"`
+		Worth  float64 `json:"worth"`
 	} `json:"classes"`
+	Zone  string   `json:"zone"`
+	Zones []string `json:"azs"`
 	Extra struct {
 		Pieces []bool    `json:"in_pieces"`
 		Writes []bool    `json:"class_write"`
@@ -97,7 +104,12 @@
 		Longest float64 `json:"max_retry_after"`
 	} `json:"permissions"`
 	Rules struct {
-		Slack float64 `json:"answer_slack"`
+		Slack    float64 `json:"answer_slack"`
+		Grace    float64 `json:"drain_grace"`
+		Fall     float64 `json:"fall"`
+		Multiple float64 `json:"fall_multiple"`
+		Cold     float64 `json:"cold"`
+		Share    float64 `json:"cold_share"`
 	} `json:"rules"`
 	Report struct {
 		How string `json:"how"`
@@ -164,6 +176,23 @@
 		if t.Limit <= 0 {
 			return nil, fmt.Errorf("settings.classes[%d].hard_limit: must be above 0", i)
 		}
+		if slices.ContainsFunc(c.Types, func(o Type) bool { return o.Name == t.Name }) {
+			return nil, fmt.Errorf("settings.classes[%d].name: %q is there twice", i, t.Name)
+		}
+		if t.Effect != "" && !slices.Contains([]string{"pure", "token", "side_effect"}, t.Effect) {
+			return nil, fmt.Errorf("settings.classes[%d].effect: %q is none of pure, token, side_effect", i, t.Effect)
+		}
+		if t.Scope != "" && !slices.Contains([]string{"all", "zone", "cell"}, t.Scope) {
+			return nil, fmt.Errorf("settings.classes[%d].key_scope: %q is none of all, zone, cell", i, t.Scope)
+		}
+		for _, n := range []struct {
+			name  string
+			value float64
+		}{{"promise", t.Target}, {"aim_stretch", t.Aim}, {"key_ttl", t.Window}, {"worth", t.Worth}} {
+			if n.value < 0 {
+				return nil, fmt.Errorf("settings.classes[%d].%s: must not be below 0", i, n.name)
+			}
+		}
 		// What the settings don't tell is left to the caches.
 		typ := Type{Name: t.Name, Expiry: t.Limit, Target: t.Target, Stretch: t.Aim, Parts: i >= len(s.Extra.Pieces) || s.Extra.Pieces[i], Bodies: true, Writes: true,
 			Once: t.Effect != "" && t.Effect != "pure"}
@@ -178,6 +207,27 @@
 	if len(c.Types) == 0 {
 		return nil, errors.New("settings.classes: missing")
 	}
+	for _, l := range []struct {
+		name string
+		long int
+	}{{"in_pieces", len(s.Extra.Pieces)}, {"class_write", len(s.Extra.Writes)}, {"max_age", len(s.Extra.Fresh)}} {
+		if l.long != 0 && l.long != len(c.Types) {
+			return nil, fmt.Errorf("settings.extra.%s: has %d values for %d classes", l.name, l.long, len(c.Types))
+		}
+	}
+	if len(s.Zones) > 0 && !slices.Contains(s.Zones, s.Zone) {
+		return nil, fmt.Errorf("settings.zone: %q is not in settings.azs", s.Zone)
+	}
+	r := s.Rules
+	for _, n := range []struct {
+		name        string
+		value, most float64
+	}{{"answer_slack", r.Slack, math.Inf(1)}, {"drain_grace", r.Grace, math.Inf(1)}, {"fall", r.Fall, math.Inf(1)}, {"fall_multiple", r.Multiple, math.Inf(1)},
+		{"cold", r.Cold, math.Inf(1)}, {"cold_share", r.Share, 1}} {
+		if n.value < 0 || n.value > n.most {
+			return nil, fmt.Errorf("settings.rules.%s: %v is out of range", n.name, n.value)
+		}
+	}
 	p := s.Permissions
 	for _, n := range []struct {
 		name  string
--- a/internal/footprint/config_test.go
+++ b/internal/footprint/config_test.go
@@ -38,6 +38,17 @@
 		{"settings.permissions.connect_timeout", -1, "settings.permissions.connect_timeout:"},
 		{"settings.permissions.send_cap", "8", "permissions.send_cap"},
 		{"settings.permissions.max_open", nil, "settings.permissions.max_open:"},
+		{"settings.classes", []any{map[string]any{"name": "a", "hard_limit": 1}, map[string]any{"name": "a", "hard_limit": 1}}, "settings.classes[1].name:"},
+		{"settings.classes", []any{map[string]any{"name": "a", "hard_limit": -1}}, "settings.classes[0].hard_limit:"},
+		{"settings.classes", []any{map[string]any{"name": "a", "hard_limit": 1, "effect": "keyed"}}, "settings.classes[0].effect:"},
+		{"settings.classes", []any{map[string]any{"name": "a", "hard_limit": 1, "key_scope": "town"}}, "settings.classes[0].key_scope:"},
+		{"settings.classes", []any{map[string]any{"name": "a", "hard_limit": 1, "key_ttl": -5}}, "settings.classes[0].key_ttl:"},
+		{"settings.classes", []any{map[string]any{"name": "a", "hard_limit": 1, "promise": -5}}, "settings.classes[0].promise:"},
+		{"settings.classes", []any{map[string]any{"name": "a", "hard_limit": 1}}, "settings.extra.class_write: has 3 values for 1"},
+		{"settings.extra.max_age", []any{0}, "settings.extra.max_age:"},
+		{"settings.zone", "elsewhere", "settings.zone:"},
+		{"settings.rules.cold_share", 1.5, "settings.rules.cold_share:"},
+		{"settings.rules.fall_multiple", -1, "settings.rules.fall_multiple:"},
 	} {
 		var all map[string]any
 		json.Unmarshal(text, &all)
--- a/router/router.go
+++ b/router/router.go
@@ -64,7 +64,9 @@
 func (r *Router) start(e Started) {
 	r.foot, r.born, r.chance = e.Footprint, r.now, Chance(e.Seed|1)
 	here := slices.Index(r.foot.list("zones"), any(r.foot.text("zone")))
-	r.peers = max(1, r.foot.numAt("gateways by zone", here))
+	// Not told how many share the location, it counts as one of all: a cold cache then gets less than it bears, by as many times as
+	// there are locations. Told of none at all it is alone; should it not be, all together send so many times the budget.
+	r.peers = max(1, cmp.Or(r.foot.numAt("gateways by zone", here), r.foot.num("gateways")))
 	for i := range r.foot.list("types") {
 		t := &Type{name: r.foot.textAt("types", i), repeat: r.foot.textAt("repeat", i),
 			scope: r.foot.textAt("dedupe group", i), window: r.foot.numAt("dedupe window", i),
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -157,3 +157,18 @@
 		}
 	}
 }
+
+// How many gateways share a cold cache's budget: those of the location, else all that there are, else one.
+func TestPeers(t *testing.T) {
+	for _, c := range []struct {
+		zones any
+		all   float64
+		want  float64
+	}{{[]any{0.0, 7.0}, 20, 7}, {nil, 20, 20}, {[]any{0.0, 0.0}, 20, 20}, {nil, 0, 1}} {
+		f := foot()
+		f["gateways by zone"], f["gateways"] = c.zones, c.all
+		if r := started(f); r.peers != c.want {
+			t.Errorf("%v of %v: %v, want %v", c.zones, c.all, r.peers, c.want)
+		}
+	}
+}
