--- a/internal/gateway/crossing_test.go
+++ b/internal/gateway/crossing_test.go
@@ -321,13 +321,27 @@
 	}
 }
 
-// A connection that comes up after its request has gone, however that went, brings it no command: the client's close, its abort, its
-// expiry. What is asked after that goes by it.
+// fcgi is one record of request 1: its begin, its abort, or params.
+func fcgi(typ byte, params map[string]string) []byte {
+	var b []byte
+	if typ == 1 {
+		b = []byte{0, 1, 1, 0, 0, 0, 0, 0}
+	}
+	for name, value := range params {
+		b = append(append(append(b, byte(len(name)), byte(len(value))), name...), value...)
+	}
+	return append([]byte{1, typ, 0, 1, byte(len(b) >> 8), byte(len(b)), 0, 0}, b...)
+}
+
+// A connection that comes up after its request has gone, however that went, brings it no command: the client's close of
+// all or of a half, its reset, its abort, its expiry. What is asked after that goes by it.
 func TestUpTooLate(t *testing.T) {
-	for name, over := range map[string]func(s *scripted, c *clients.Caller, number uint16, answered chan int){
-		"the client closes": func(s *scripted, c *clients.Caller, _ uint16, answered chan int) { c.Close() },
-		"the client aborts": func(s *scripted, c *clients.Caller, number uint16, answered chan int) { c.Abort(number) },
-		"its expiry":        func(*scripted, *clients.Caller, uint16, chan int) {},
+	for name, over := range map[string]func(c *net.TCPConn){
+		"the client closes":      func(c *net.TCPConn) { c.Close() },
+		"the client half-closes": func(c *net.TCPConn) { c.CloseWrite() },
+		"the client resets":      func(c *net.TCPConn) { c.SetLinger(0); c.Close() },
+		"the client aborts":      func(c *net.TCPConn) { c.Write(fcgi(2, nil)) },
+		"its expiry":             func(*net.TCPConn) {},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := newScripted(t)
@@ -336,10 +350,13 @@
 			s.set("settings.permissions.connect_timeout", 5000)
 			s.set("settings.permissions.probing", false)
 			s.start()
-			c := s.caller()
-			answered := s.ask(c, "video", 1, 900)
-			over(s, c, 1, answered)
-			<-answered
+			c := s.raw().(*net.TCPConn)
+			c.Write(fcgi(1, nil))
+			c.Write(fcgi(4, map[string]string{"SCRIPT_NAME": "/invoke/video", "HTTP_X_JOB_ID": "0000000000000001", "HTTP_X_ALLOW_MS": "900",
+				"HTTP_X_ITEM": "0000000000000001", "HTTP_X_N": "0", "HTTP_X_SHARD": "7"}))
+			c.Write(append(fcgi(4, nil), fcgi(5, nil)...))
+			over(c)
+			c.Read(make([]byte, 1))                                                 // its answer, or its end
 			until(t, "the gateway knows", func() bool { return s.health() == 200 }) // what came before this is handled
 			release()
 			got := s.ask(s.caller(), "video", 2, 6000)
