Pulls go by connections that are up; what waits for a late one goes by the first that is

Pool.link gave a pull that found every connection busy to a new one, and there it stayed (Pool.put). Excluded: the loop (0.6 ms), the caches (the wait is before the first byte).

Change: a connection that is up and not quiet for longer than answers take goes first, busy or not; one more is opened for what comes next; when one comes up, what waits for others of its cache goes by it. It may hurt where connections are reset under many pulls, as a pull then shares its connection while the next comes up; one that is silent is left as before.

--- a/internal/caches/caches_test.go
+++ b/internal/caches/caches_test.go
@@ -325,6 +325,43 @@
 }
 
 // A node that is gone is forgotten with its last connection, and one at its address starts from nothing.
+// A pull does not wait for a new connection while one that is up answers: one is opened beside it, for what comes next. What waits for
+// one that is late goes by the first that is up; what is written stays. One that is quiet for longer than answers take is left.
+func TestUpGoesFirst(t *testing.T) {
+	b := newBench(16)
+	b.limits.Streams = 32
+	up := func(n int, at float64) { b.Handle(Up{Wire: b.lines[n], At: at}) }
+	written := func() (out string) {
+		for _, l := range b.lines {
+			if b.links[l] != nil && b.links[l].up {
+				l.write(true)
+			}
+			out += fmt.Sprint(strings.Count(l.sent, "GET"), " ")
+		}
+		return out
+	}
+	b.pull("a", 0)
+	b.pull("b", 0)
+	expect(t, "opened while none is up", len(b.lines), 2)
+	up(1, 5)
+	expect(t, "both go by the one that is up", written(), "0 2 ")
+	b.pull("c", 6)
+	expect(t, "busy, it takes more, as another is on its way", written(), "0 3 ")
+	up(0, 7)
+	b.pull("d", 8)
+	expect(t, "the new one, once it is up", written(), "1 3 ")
+	b.pull("e", 9)
+	expect(t, "all busy: one more is opened, and nothing waits for it", written(), "2 3 0 ")
+	b.answer(0, "d", "DONE", "-", 12)
+	b.pull("f", 500)
+	b.pull("g", 500)
+	expect(t, "what is quiet for longer than answers take is left", fmt.Sprint(written(), len(b.lines[2].queue), len(b.lines[3].queue)), "2 3 0 0 1 1")
+	for _, l := range b.lines[2:] {
+		b.Handle(Down{Wire: l, At: 900})
+	}
+	expect(t, "never up", b.ended(), fmt.Sprintf("d:%d f:%d g:%d", router.Fulfilled, router.NotConnected, router.NotConnected))
+}
+
 func TestGone(t *testing.T) {
 	b := newBench(9)
 	for i := range 100 {
--- a/internal/caches/pool.go
+++ b/internal/caches/pool.go
@@ -1,6 +1,7 @@
 package caches
 
 import (
+	"cmp"
 	"errors"
 	"maps"
 	"math"
@@ -191,30 +192,57 @@
 // link finds the connection with the least open, or opens one while the node has few: what spoils or stops one
 // connection takes along all that is open on it. One on which an answer to an earlier pull of the same download, or
 // a second copy of it, may still come is passed over: nobody could tell the two apart. So is one that may be mute.
+// What is up and answers goes first, busy or not: a connection may come up late, and is opened for what comes next. What
+// has been quiet for longer than answers take may be silent for good, where a new connection finds out soon.
 func (p *Pool) link(q *Pull, now float64) *link {
 	n := p.nodes[q.Node]
 	if n == nil {
 		return nil
 	}
 	var best *link
+	lively, coming := false, false // of the best; whether one is on its way up
 	for _, l := range slices.Clone(n.links) {
 		p.rest(l, now)
+		coming = coming || !l.up && !l.retired
 		if l.retired || l.check != nil || len(l.open) >= p.limits.Streams || l.open[q.ID] != nil || l.past[q.ID] || q.met(l) {
 			continue
 		}
-		if best == nil || len(l.open) < len(best.open) || len(l.open) == len(best.open) && l.heard > best.heard {
-			best = l
+		if ready := l.answers(p, now); best == nil || ready && !lively || ready == lively &&
+			(len(l.open) < len(best.open) || len(l.open) == len(best.open) && l.heard > best.heard) {
+			best, lively = l, ready
 		}
 	}
 	if best != nil && (len(best.open) == 0 || len(n.links) >= p.each()) {
 		return best
 	}
+	if lively {
+		if !coming && !p.closed && len(p.links) < p.limits.Conns {
+			p.connect(n, now)
+		}
+		return best
+	}
 	if p.closed || len(p.links) >= p.limits.Conns && (best != nil || !p.evict()) {
 		if best == nil {
 			p.Short++
 		}
 		return best
 	}
+	return p.connect(n, now)
+}
+
+// answers tells whether a connection is up and no longer quiet than answers take of late.
+func (l *link) answers(p *Pool, now float64) bool {
+	if !l.up || len(l.open) == 0 {
+		return l.up
+	}
+	first := math.Inf(1)
+	for _, q := range l.open {
+		first = min(first, q.sent)
+	}
+	return now-max(first, l.heard) <= cmp.Or(p.usual, p.limits.Answer)
+}
+
+func (p *Pool) connect(n *node, now float64) *link {
 	l := &link{node: n, wire: p.dial(n.address), open: map[string]*Pull{}, past: map[string]bool{}, used: now,
 		heard: math.Inf(-1)}
 	n.links = append(n.links, l)
@@ -223,6 +251,22 @@
 	return l
 }
 
+// gather has what waits for connections that are not up yet go by those that are: it never was written.
+func (p *Pool) gather(n *node, now float64) {
+	for _, l := range slices.Clone(n.links) {
+		if l.up {
+			continue
+		}
+		for _, id := range slices.Sorted(maps.Keys(l.open)) {
+			if q := l.open[id]; l.wire.Remove(q.item) {
+				delete(l.open, id)
+				p.send(q, q.item.head, now)
+			}
+		}
+		p.tidy(l)
+	}
+}
+
 // each is how many connections a node may have while others' pulls could share one: half of the node's part, so that
 // nodes that need more find room.
 func (p *Pool) each() int { return max(1, min(mostEach, p.limits.Conns/(2*max(1, len(p.nodes))))) }
@@ -395,6 +439,7 @@
 	case Up:
 		if l := p.links[e.Wire]; l != nil {
 			l.up = true
+			p.gather(l.node, e.At)
 		}
 	case Answered:
 		p.answered(e)
--- a/internal/caches/wire.go
+++ b/internal/caches/wire.go
@@ -40,7 +40,10 @@
 // What a wire tells.
 type (
 	// Up tells that a connection is there.
-	Up struct{ Wire Wire }
+	Up struct {
+		Wire Wire
+		At   float64
+	}
 	// Answered is one answer.
 	Answered struct {
 		Wire  Wire
@@ -162,7 +165,7 @@
 	w.mu.Unlock()
 	var bad error
 	if err == nil {
-		w.dialer.Post(Up{Wire: w})
+		w.dialer.Post(Up{Wire: w, At: w.dialer.Now()})
 		done := make(chan struct{})
 		go func() {
 			w.write()
