--- a/internal/fair/gate.go
+++ b/internal/fair/gate.go
@@ -431,7 +431,7 @@
 // fifths of what is open; all taking 1.8 times as long as at the quickest, to nine tenths: what queues behind the door is
 // served first come, first served, and the shares are lost there. At most twice a second; each end in time while it is met
 // and all is quick raises it. It is looser than the
-// router's lanes, which judge by node: what they turn away counts as late here, so the door closes when they do.
+// router's limiters, which judge by node: what they turn away counts as late here, so the door closes when they do.
 type limit struct {
 	least, most, cut float64
 	late, all, cost  ring
--- a/internal/gateway/core.go
+++ b/internal/gateway/core.go
@@ -249,31 +249,31 @@
 }
 
 // Drift writes down what the router holds of each node beside what is open on the sockets, and tells whether the two
-// agree: lanes and budgets go by what the router believes.
+// agree: limiters and budgets go by what the router believes.
 func (g *Core) Drift() (text string, drifts bool) {
 	for _, b := range g.router.Beliefs() {
 		open := g.pool.Open(b.Node)
 		drifts = drifts || b.Out != open
-		if b.Out != open || b.Aside || b.Warm < 1 || b.Most < laneTold {
+		if b.Out != open || b.Aside || b.Warm < 1 || b.Most < limiterTold {
 			text += fmt.Sprintf("%s out %d of %d aside %t warm %.2f bad %.1f of %.1f", b.Node, b.Out, open, b.Aside, b.Warm,
 				b.Bad, b.Good+b.Bad)
-			if b.Most < laneTold {
+			if b.Most < limiterTold {
 				text += fmt.Sprintf(" at most %.1f late %.0f of %.0f", b.Most, b.Late, b.All)
 			}
 			text += "; "
 		}
 	}
-	fills, asks := g.router.Lanes()
+	fills, asks := g.router.Limiters()
 	for _, l := range []router.Belief{fills, asks} {
-		if l.Most < laneTold {
+		if l.Most < limiterTold {
 			text += fmt.Sprintf("%s out %d of at most %.1f late %.0f of %.0f; ", l.Node, l.Out, l.Most, l.Late, l.All)
 		}
 	}
 	return text, drifts
 }
 
-// laneTold is the bound from which on a lane is worth a line: it was cut, as answers came late.
-const laneTold = 1e6
+// limiterTold is the bound from which on a limiter is worth a line: it was cut, as answers came late.
+const limiterTold = 1e6
 
 // Leave has the gateway say that it is not healthy any more, so that the front sends nobody else.
 func (g *Core) Leave() { g.ending = true }
--- a/router/door.go
+++ b/router/door.go
@@ -118,7 +118,7 @@
 	Aside     bool
 	Warm      float64 // the share of its capacity that it is trusted with
 	Good, Bad float64 // of its pulls lately
-	Most      float64 // pulls that its lane lets out at a time; unbounded until answers were late
+	Most      float64 // pulls that its limiter lets out at a time; unbounded until answers were late
 	Late, All float64 // answers by which that was judged lately
 }
 
--- a/router/parts.go
+++ b/router/parts.go
@@ -101,18 +101,18 @@
 	token    int64
 	holders  Holders
 	purges   Purges
-	furthers Ring // sending time of pulls that were not the first
-	volume   Ring // sending time asked for
-	wanted   Ring // benefit asked for
-	fills    Lane // all fills of this gateway
-	asks     Lane // those for what the source holds
+	furthers Ring    // sending time of pulls that were not the first
+	volume   Ring    // sending time asked for
+	wanted   Ring    // benefit asked for
+	fills    Limiter // all fills of this gateway
+	asks     Limiter // those for what the source holds
 }
 
 // New makes a router that waits for its Started.
 func New() *Router {
 	return &Router{nodes: map[string]*Node{}, dls: map[string]*Download{}, types: map[string]*Type{},
 		alarms: map[int64]note{}, furthers: NewRing(span, buckets),
-		volume: NewRing(span, buckets), wanted: NewRing(span, buckets), fills: newLane(), asks: newLane(), holders: Holders{entries: map[object]*entry{}},
+		volume: NewRing(span, buckets), wanted: NewRing(span, buckets), fills: newLimiter(), asks: newLimiter(), holders: Holders{entries: map[object]*entry{}},
 		purges: Purges{at: map[any]float64{}}}
 }
 
@@ -160,7 +160,7 @@
 	weight         float64
 	cell           int64
 	booted         float64
-	asked          Lane // pulls out to it
+	asked          Limiter // pulls out to it
 	good, bad      Ring
 	spent          Ring // sending time charged while cold
 	took           Ring // sending time fulfilled
@@ -172,10 +172,10 @@
 func newNode(id string) *Node {
 	return &Node{id: id, hash: hash(id), state: Gone, good: NewRing(span, buckets), bad: NewRing(span, buckets),
 		took:  NewRing(span, buckets),
-		asked: newLane()}
+		asked: newLimiter()}
 }
 
-type Lane struct {
+type Limiter struct {
 	out               int
 	most, cut         float64
 	late, all, failed Ring
@@ -262,9 +262,9 @@
 	return all
 }
 
-// Lanes tells how the lanes that belong to no node stand: that of all fills, and that of questions.
-func (r *Router) Lanes() (fills, asks Belief) {
-	of := func(name string, l *Lane) Belief {
+// Limiters tells how the limiters that belong to no node stand: that of all fills, and that of questions.
+func (r *Router) Limiters() (fills, asks Belief) {
+	of := func(name string, l *Limiter) Belief {
 		return Belief{Node: name, Out: l.out, Most: l.most, Late: l.late.Sum(r.now), All: l.all.Sum(r.now)}
 	}
 	return of("fills", &r.fills), of("questions", &r.asks)
--- a/router/router.go
+++ b/router/router.go
@@ -64,8 +64,9 @@
 func (r *Router) start(e Started) {
 	r.foot, r.born, r.chance = e.Footprint, r.now, Chance(e.Seed|1)
 	here := slices.Index(r.foot.list("zones"), any(r.foot.text("zone")))
-	// Not told how many share the location, it counts as one of all: a cold cache then gets less than it bears, by as many times as
-	// there are locations. Told of none at all it is alone; should it not be, all together send so many times the budget.
+	// Not told how many share the location, it counts as one of all: a cold cache then gets less than it bears,
+	// by as many times as there are locations. Told of none at all it is alone; should it not be, all together
+	// send so many times the budget.
 	r.peers = max(1, cmp.Or(r.foot.numAt("gateways by zone", here), r.foot.num("gateways")))
 	for i := range r.foot.list("types") {
 		t := &Type{name: r.foot.textAt("types", i), repeat: r.foot.textAt("repeat", i),
@@ -277,7 +278,7 @@
 }
 
 // bypass asks the parent itself, once, where the edge cache has no room: the edge may be all that is short,
-// as after a release that left few and empty caches. The parent's own lane bounds it.
+// as after a release that left few and empty caches. The parent's own limiter bounds it.
 func (d *Download) bypass(r *Router) bool {
 	at := d.pick(r, d.parents, func(p *pull) *Node { return p.at })
 	return at != nil && r.foot.flag("direct") && d.once(r, bypassed, &pull{at: at, source: at})
@@ -342,7 +343,8 @@
 	a := Pull{ID: d.id, Node: p.at.id, Source: p.source.id, Timeout: d.expiry - r.now}
 	// A connection that is slow to come up must not carry a repeat past the window in which it is one.
 	for _, q := range d.pulls {
-		if left := q.sent + d.typ.window - r.now; d.typ.repeat == "deduped" && (q.may || q.out) && (a.Within == 0 || left < a.Within) {
+		left := q.sent + d.typ.window - r.now
+		if d.typ.repeat == "deduped" && (q.may || q.out) && (a.Within == 0 || left < a.Within) {
 			a.Within = left
 		}
 	}
@@ -475,7 +477,7 @@
 		answer := granted
 		if !n.admits(r, m.pull) {
 			answer = declined
-		} else if !m.pull.dl.write && !r.lane(n, m.pull).open(r, m.pull.dl.typ) {
+		} else if !m.pull.dl.write && !r.limiter(n, m.pull).open(r, m.pull.dl.typ) {
 			answer = crowded
 		}
 		if answer != granted {
@@ -486,7 +488,7 @@
 			return
 		}
 		n.spent.Add(r.now, m.pull.cost)
-		r.lane(n, m.pull).out++
+		r.limiter(n, m.pull).out++
 		if m.pull.at == n && m.pull.source != n {
 			r.post(note{to: m.pull.source, topic: offered, pull: m.pull})
 		} else {
@@ -494,7 +496,7 @@
 		}
 	case released:
 		n.spent.Add(r.now, -m.pull.cost)
-		r.lane(n, m.pull).out--
+		r.limiter(n, m.pull).out--
 	case ended:
 		n.end(r, m.pull, m.event.(Ended))
 	case overdue:
@@ -608,12 +610,12 @@
 // falls below what is out, each one in time raises it. With little traffic it is under one pull and met by
 // chance, so that a location's many gateways together are bounded too. It guards against any queue, whoever
 // fills it; it harms where answers are late for reasons of their own, such as a run of very large objects.
-func (l *Lane) judge(r *Router, late bool) {
+func (l *Limiter) judge(r *Router, late bool) {
 	l.all.Add(r.now, 1)
 	if late {
 		l.late.Add(r.now, 1)
 	} else if float64(l.out+1) > 0.7*l.most {
-		// Where answers are few a tenth of a pull for each would leave a lane shut long after its trouble; where
+		// Where answers are few a tenth of a pull for each would leave a limiter shut long after its trouble; where
 		// they are many the steps add up. Doubling in one that is not calm would only fill the queue anew.
 		step := min(0.1, 1/l.most)
 		if all := l.all.Sum(r.now); all < fewAnswers && l.calm(r) {
@@ -622,31 +624,31 @@
 		l.most += step
 	}
 	if r.now >= l.cut+span/8 && l.troubled(r) {
-		l.most, l.cut = max(laneLeast/r.peers, 0.8*min(l.most, float64(l.out+1))), r.now
+		l.most, l.cut = max(limiterLeast/r.peers, 0.8*min(l.most, float64(l.out+1))), r.now
 	}
 }
 
-// open lets in what brings much benefit for its sending time first: to it a lane looks emptier, by the root,
+// open lets in what brings much benefit for its sending time first: to it a limiter looks emptier, by a root,
 // so that large objects are not shut out of a jam. It harms a type whose benefit is set too low.
-func (l *Lane) open(r *Router, t *Type) bool {
+func (l *Limiter) open(r *Router, t *Type) bool {
 	cost := t.sending(r.now)
 	dear := math.Sqrt(cost / t.benefit * (r.wanted.Sum(r.now) + t.benefit) / (r.volume.Sum(r.now) + cost))
 	return dear*(r.chance.Below()+float64(l.out)) < l.most
 }
 
-func (l *Lane) troubled(r *Router) bool { return l.late.Sum(r.now) > 0.5+0.25*l.all.Sum(r.now) }
-func (l *Lane) calm(r *Router) bool     { return l.late.Sum(r.now) < 0.1*l.all.Sum(r.now) }
+func (l *Limiter) troubled(r *Router) bool { return l.late.Sum(r.now) > 0.5+0.25*l.all.Sum(r.now) }
+func (l *Limiter) calm(r *Router) bool     { return l.late.Sum(r.now) < 0.1*l.all.Sum(r.now) }
 
-const fewAnswers = 20.0 // in a lane's 2 s
+const fewAnswers = 20.0 // in a limiter's 2 s
 
-const laneLeast = 6 // pulls out that are no queue, of all gateways at a location together
+const limiterLeast = 6 // pulls out that are no queue, of all gateways at a location together
 
-func newLane() Lane {
-	return Lane{most: 1e9, late: NewRing(span/2, 4), all: NewRing(span/2, 4), failed: NewRing(span/2, 4)}
+func newLimiter() Limiter {
+	return Limiter{most: 1e9, late: NewRing(span/2, 4), all: NewRing(span/2, 4), failed: NewRing(span/2, 4)}
 }
 
-// lane is a node's own for what is asked of it. Fills share one, as they do the link, and questions another.
-func (r *Router) lane(n *Node, p *pull) *Lane {
+// limiter is a node's own for what is asked of it. Fills share one, as they do the link; questions another.
+func (r *Router) limiter(n *Node, p *pull) *Limiter {
 	if p.at == n {
 		return &n.asked
 	} else if p.ask {
@@ -656,8 +658,8 @@
 }
 
 func (n *Node) end(r *Router, p *pull, e Ended) {
-	lane := r.lane(n, p)
-	lane.out--
+	limiter := r.limiter(n, p)
+	limiter.out--
 	if e.Status == Fulfilled {
 		n.took.Add(r.now, p.cost)
 		if n != p.at && e.Note == Held {
@@ -671,9 +673,9 @@
 	// Where answers tell fills apart, their lateness is the source's: copies at the edge go on being served.
 	untold := e.Note == NotTold && e.Status != TurnedAway && r.foot.text("notes") == "none"
 	if !p.mute && (n != p.at || p.source == p.at || e.Note == Held || untold) {
-		lane.judge(r, p.late || e.Status == TurnedAway)
+		limiter.judge(r, p.late || e.Status == TurnedAway)
 		if e.Status != Fulfilled && e.Status != Missed && e.Status != NeverSent {
-			lane.failed.Add(r.now, 1)
+			limiter.failed.Add(r.now, 1)
 		}
 	}
 	switch {
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -106,7 +106,7 @@
 	}
 }
 
-// In a full lane what brings much benefit for its sending time still finds room; what brings little does not.
+// In a full limiter what brings much benefit for its sending time still finds room; what brings little does not.
 func TestBenefitForSendingTimeFirst(t *testing.T) {
 	f := foot()
 	f["types"], f["benefit"] = []any{"video", "page"}, []any{2.0, 1.0}
--- a/router/trouble_test.go
+++ b/router/trouble_test.go
@@ -102,7 +102,7 @@
 }
 
 // A parent that can't be reached is told by the edge cache as full, after the time that a connection may take. With few
-// downloads a second it is set aside after two of these, and the lane of all fills is not cut for it: the others
+// downloads a second it is set aside after two of these, and the limiter of all fills is not cut for it: the others
 // answer. Before, such fills shut out those by healthy parents.
 func TestSourceOutOfReach(t *testing.T) {
 	g := newRig()
@@ -113,29 +113,29 @@
 		}
 		return well(p)
 	})
-	fills, _ := g.r.Lanes()
+	fills, _ := g.r.Limiters()
 	if throttled > 0 || by["p1"] > 4 || by["p2"] < 30 || fills.Most < 1e8 {
-		t.Errorf("%d throttled, fills by %v, lane of fills at most %.1f", throttled, by, fills.Most)
+		t.Errorf("%d throttled, fills by %v, limiter of fills at most %.1f", throttled, by, fills.Most)
 	}
-	// What is turned away at once is a matter of places, and cuts the lane as before.
+	// What is turned away at once is a matter of places, and cuts the limiter as before.
 	g = newRig()
 	g.few(4, well)
 	g.few(6, func(p Pull) (Status, Note, float64) { return TurnedAway, NotTold, 5 })
-	if fills, _ := g.r.Lanes(); fills.Most > 10 {
-		t.Errorf("fills are turned away at once, and their lane is at most %.1f", fills.Most)
+	if fills, _ := g.r.Limiters(); fills.Most > 10 {
+		t.Errorf("fills are turned away at once, and their limiter is at most %.1f", fills.Most)
 	}
 }
 
-// Once a cut lane is calm, as many answers in time as it is judged by double it, where these are few: with a tenth of a
+// Once a cut limiter is calm, as many answers in time as it is judged by double it, where these are few: with a tenth of a
 // pull for each it stayed shut for ten seconds after a trouble. While answers are late, or many, it grows as before.
-func TestCalmLaneOpens(t *testing.T) {
+func TestCalmLimiterOpens(t *testing.T) {
 	for _, c := range []struct {
 		name        string
 		every       float64 // ms between answers
 		late        int     // one in so many; 0: none
 		least, most float64
 	}{{"few answers", 400, 0, 1.2, 3}, {"few, one in five late", 400, 5, 0.3, 0.9}, {"many answers", 20, 0, 8, 16}} {
-		r, l := started(foot()), newLane()
+		r, l := started(foot()), newLimiter()
 		r.peers, l.most, l.cut, l.out = 30, 0.4, 1e9, 100
 		for i := 1; r.now < 2000; i++ {
 			r.now += c.every
