--- a/internal/rehearsal/virtual/virtual.go
+++ b/internal/rehearsal/virtual/virtual.go
@@ -484,7 +484,7 @@
 	}
 	w.up = true
 	w.g.d.agenda.Remove(w.limit)
-	w.g.handle(caches.Up{Wire: w})
+	w.g.handle(caches.Up{Wire: w, At: w.g.d.unix()})
 	queue := w.queue
 	w.queue = nil
 	for _, i := range queue {
