--- a/internal/knownred/main.go
+++ b/internal/knownred/main.go
@@ -72,8 +72,11 @@
 // exists asks go which tests a package has, under the flags of the run.
 func exists(flags []string) func(pkg, test string) (bool, error) {
 	return func(pkg, test string) (bool, error) {
-		out, err := exec.Command("go", slices.Concat([]string{"test"}, flags, []string{"-list", "^" + test + "$", "./" + pkg})...).Output()
-		return bytes.Contains(out, []byte(test+"\n")), err
+		out, err := exec.Command("go", slices.Concat([]string{"test"}, flags, []string{"-list", "^" + test + "$", "./" + pkg})...).CombinedOutput()
+		if err != nil {
+			return false, fmt.Errorf("go test -list: %w: %s", err, bytes.TrimSpace(out))
+		}
+		return bytes.Contains(out, []byte(test+"\n")), nil
 	}
 }
 
