--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,18 +1,4 @@
 #!/usr/bin/env bash
 # Exit: 1 the rule was broken, 0 it held, 2 the case could not run. TROUBLE=0 leaves out the disruption.
-set -uo pipefail
-here="$(cd "$(dirname "$0")" && pwd)"
-root="$(cd "$here/../.." && pwd)"
-case="$root/bin/review/case-$(basename "$here")"
-run="$(sed -n 's/^run = "\(.*\)"$/\1/p' "$root/deploy/balancer.toml")"
-if [ ! -x "$case" ] || [ -z "$run" ] || [ ! -x "$root/bin/poppymill" ]; then
-    echo "not built" >&2
-    exit 2
-fi
-folder="$(mktemp -d)" || exit 2
-trap 'rm -rf "$folder"' EXIT
-trouble=true
-if [ "${TROUBLE:-1}" = 0 ]; then trouble=false; fi
-timeout -k 5 110 "$case" -root "$root" -run "$run" -folder "$folder" -record "$here/record.txt" -trouble=$trouble
-code=$?
-case $code in 0 | 1) exit $code ;; *) exit 2 ;; esac
+here="$(dirname "$0")"
+exec "$here/../run-case.sh" "$here"
--- a/review/kit/gateway.go
+++ b/review/kit/gateway.go
@@ -7,6 +7,8 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -42,7 +44,9 @@
 	g := &Gateway{Name: name, Address: address, record: record, ended: make(chan struct{})}
 	g.cmd = exec.Command("/bin/sh", "-c", run)
 	g.cmd.Dir = root
-	g.cmd.Env = append(append(os.Environ(), "BALANCER_NAME="+name, "BALANCER_LISTEN="+address, "BALANCER_CONFIG="+path, "TMPDIR="+folder), env...)
+	// What the caller's environment says to a gateway does not count here.
+	outer := slices.DeleteFunc(os.Environ(), func(v string) bool { return strings.HasPrefix(v, "BALANCER_") || strings.HasPrefix(v, "POPPYMILL_") })
+	g.cmd.Env = append(append(outer, "BALANCER_NAME="+name, "BALANCER_LISTEN="+address, "BALANCER_CONFIG="+path, "TMPDIR="+folder), env...)
 	g.cmd.Stdout, g.cmd.Stderr = log, log
 	g.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := g.cmd.Start(); err != nil {
