--- a/internal/mutation/races.go
+++ b/internal/mutation/races.go
@@ -9,10 +9,10 @@
 
 // raceFaults undo, one at a time, the fixes for races between concurrent events (docs/notes/crossings.md).
 var raceFaults = []fault{
-	{"a request read while its connection ends is accepted", "internal/clients/serve.go", "\t\tif c.discarding {\n", "\t\tif false {\n", clientsPackage, "TestRequestReadDuringCloseIsDiscarded"},
-	{"after the last response the connection still accepts requests", "internal/clients/serve.go", "c.discarding = c.discarding || finish", "_ = finish", clientsPackage, "TestRequestReadDuringCloseIsDiscarded"},
-	{"a connection closes with unread bytes", "internal/clients/serve.go", "\t\t\tc.closeGracefully()\n", "\t\t\tc.nc.Close()\n", clientsPackage, "TestUnreadInputDoesNotResetResponse"},
-	{"a client that never closes is read from forever", "internal/clients/serve.go", "c.nc.SetReadDeadline(time.Now().Add(lingerTimeout)) != nil || ", "", clientsPackage, "TestLingerIsBounded"},
+	{"a request read while its connection ends is accepted", "internal/clients/conn.go", "\t\tif c.discarding {\n", "\t\tif false {\n", clientsPackage, "TestRequestReadDuringCloseIsDiscarded"},
+	{"after the last response the connection still accepts requests", "internal/clients/conn.go", "c.discarding = c.discarding || finish", "_ = finish", clientsPackage, "TestRequestReadDuringCloseIsDiscarded"},
+	{"a connection closes with unread bytes", "internal/clients/conn.go", "\t\t\tc.closeGracefully()\n", "\t\t\tc.nc.Close()\n", clientsPackage, "TestUnreadInputDoesNotResetResponse"},
+	{"a client that never closes is read from forever", "internal/clients/conn.go", "c.nc.SetReadDeadline(time.Now().Add(lingerTimeout)) != nil || ", "", clientsPackage, "TestLingerIsBounded"},
 	{"a connection accepted during shutdown is not told of it", "internal/clients/serve.go", "c.draining, c.discarding = s.draining, s.discarding", "c.draining, c.discarding = false, false", clientsPackage, "TestAcceptDuringShutdown"},
 	{"one slow request cuts off other responses", "internal/clients/serve.go", "case late && !useful:", "case late && (useful || !useful):", clientsPackage, "TestSlowRequestKeepsOtherResponses"},
 	{"a waiting pull is sent after the end of its download", "internal/gateway/core.go", "\tg.release(d)\n\tg.recallPulls(d)\n", "\tg.release(d)\n", gatewayPackage, "TestNothingSentAfterEnd"},
