--- a/internal/clients/conn.go
+++ b/internal/clients/conn.go
@@ -38,20 +38,65 @@
 // idle reports whether the connection has no complete request open and nothing to write.
 func (c *Conn) idle() bool { return c.parser.Unanswered() == 0 && len(c.queue) == 0 && !c.writing }
 
-// stopReading makes the connection discard its input from now on, and reports whether it did. Without force it does so only
-// if the connection is idle. The check holds the same lock as the change: a request that was read before is answered, and keeps
-// its connection open. The writing goroutine closes the connection.
-func (c *Conn) stopReading(force bool) bool {
+// checkTimeouts applies the time limits. A connection that is too slow or idle for too long ends only if no complete request is
+// open on it: the client may send further ones until it sees the end of the connection, and each must be answered. Else only
+// the requests that come too slowly are refused. It reports how many were, and whether the connection ends.
+func (c *Conn) checkTimeouts(now float64) (refused int, ended bool) {
 	c.mu.Lock()
-	stopped := force || c.idle()
-	if stopped {
-		c.discarding, c.draining = true, true
+	defer c.mu.Unlock()
+	if c.discarding {
+		return 0, false
 	}
-	c.mu.Unlock()
-	if stopped {
+	limit := requestTimeout
+	if c.useful {
+		limit = slowRequestTimeout
+	}
+	since, unfinished := c.parser.Unfinished()
+	late := unfinished && now-since > limit
+	switch {
+	case late && !c.useful && c.parser.Unanswered() == 0:
+		c.endInput()
+		c.nc.Close() // at once, even if the client does not read the replies to what it has sent
+		return 0, true
+	case c.idle() && (late || c.idleTooLong(now)):
+		c.endInput()
+		return 0, true
+	case late:
+		replies := c.parser.RefuseUnfinished(now - limit)
+		for _, reply := range replies {
+			c.queue = append(c.queue, queuedAnswer{reply: reply})
+		}
 		c.wakeWriter()
+		return len(replies), false
+	}
+	return 0, false
+}
+
+// idleTooLong reports whether the last request was so long ago that no other is to be expected.
+func (c *Conn) idleTooLong(now float64) bool {
+	limit := requestTimeout
+	if c.useful {
+		limit = idleTimeout
+	}
+	return now-c.lastActive > limit
+}
+
+// endInput makes the connection discard its input from now on; the writing goroutine closes it. The caller holds the lock and
+// has checked that no complete request is open: a request that was read before is answered, and keeps its connection open.
+func (c *Conn) endInput() {
+	c.discarding, c.draining = true, true
+	c.wakeWriter()
+}
+
+// endIfIdle ends a connection without a complete request, and reports whether it did.
+func (c *Conn) endIfIdle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.idle() {
+		return false
 	}
-	return stopped
+	c.endInput()
+	return true
 }
 
 // maxQueued bounds the queue of a connection whose client sends protocol-level requests and does not read the replies.
--- a/internal/clients/fastcgi.go
+++ b/internal/clients/fastcgi.go
@@ -179,6 +179,20 @@
 	return since, unfinished
 }
 
+// RefuseUnfinished ends each request received in part that began before the given time, and returns the replies that refuse
+// them: they never ran, so a retry is safe. What still comes of them is ignored.
+func (p *Parser) RefuseUnfinished(before float64) (replies [][]byte) {
+	for id, r := range p.open {
+		if r.complete || r.start >= before {
+			continue
+		}
+		r.body.Release()
+		delete(p.open, id)
+		replies = append(replies, appendEndRequest(nil, id, statusOverloaded))
+	}
+	return replies
+}
+
 // Unanswered returns the number of complete requests that wait for their response.
 func (p *Parser) Unanswered() (n int) {
 	for _, r := range p.open {
--- a/internal/clients/serve.go
+++ b/internal/clients/serve.go
@@ -36,6 +36,7 @@
 	ExtraParams []string     // params to pass on beside those that the gateway always needs
 	MaxConns    int          // maximum number of open connections
 	ClosedEarly atomic.Int64 // connections closed as too slow or idle, or to make room
+	RefusedSlow atomic.Int64 // requests refused because they were received too slowly, beside others on their connection
 	open        atomic.Int64
 	mu          sync.Mutex
 	conns       map[*Conn]bool
@@ -43,14 +44,14 @@
 	discarding  bool // input of new connections is discarded
 }
 
-// Limits in ms after which a connection is closed: for receiving a whole request, and for sending another one.
-// requestTimeout is below the 3 s within which a connection without a whole, usable request must be closed, whatever else its
-// client sends. idleTimeout is above the 4 s after which the web server closes an idle connection itself.
+// Time limits of a connection in ms. requestTimeout is below the 3 s within which a client without a usable request must get
+// a refusal or the end of its connection. idleTimeout is above the 4 s after which the web server closes an idle connection itself.
 const (
-	requestTimeout    = 2000.0
-	idleTimeout       = 5000.0
-	firstRequestGrace = 250.0 // a new connection's first request may still be in transit
-	sweepInterval     = 250 * time.Millisecond
+	requestTimeout     = 2000.0  // for receiving a whole request, until the connection has sent a usable one
+	slowRequestTimeout = 10000.0 // the same, once it has: its client may pass on an upload slowly
+	idleTimeout        = 5000.0  // without a request
+	firstRequestGrace  = 250.0   // a new connection's first request may still be in transit
+	sweepInterval      = 250 * time.Millisecond
 )
 
 // Serve accepts connections until the listener is closed, and returns once all of them have closed.
@@ -141,7 +142,7 @@
 		c.mu.Unlock()
 	}
 	full = len(s.conns) >= s.MaxConns
-	if full && least != nil && least.stopReading(false) {
+	if full && least != nil && least.endIfIdle() {
 		delete(s.conns, least)
 	} else if full {
 		least = nil
@@ -158,29 +159,14 @@
 	return true
 }
 
-// sweep closes connections that take too long to send a whole request, and those that have been idle for too long. A web
-// server that needs longer than requestTimeout to send a request loses its connection and must retry on another.
+// sweep applies the time limits to all connections.
 func (s *Server) sweep(now float64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
-		c.mu.Lock()
-		since, unfinished := c.parser.Unfinished()
-		late := unfinished && now-since > requestTimeout
-		expired, discarding := late, c.discarding
-		if c.idle() {
-			expired = expired || !c.useful && now-c.lastActive > requestTimeout || now-c.lastActive > idleTimeout
-		}
-		useful := c.useful
-		c.mu.Unlock()
-		switch {
-		case !expired || discarding:
-		case late && !useful: // must be closed in time, even with requests open
-			s.ClosedEarly.Add(1)
-			delete(s.conns, c)
-			c.stopReading(true)
-			c.nc.Close()
-		case c.stopReading(late):
+		refused, ended := c.checkTimeouts(now)
+		s.RefusedSlow.Add(int64(refused))
+		if ended {
 			s.ClosedEarly.Add(1)
 		}
 	}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -278,7 +278,7 @@
 		"conns": p.Conns(), "dialled": p.Dialed, "malformed": p.Malformed, "short": p.Exhausted, "late": p.LateReplies, "mute": p.Stalled,
 		"old":     p.TooOld,
 		"buffers": l.buffers.InUse(), "broken": assert.Broken(),
-		"shed":    l.server.ClosedEarly.Load(),
+		"shed": l.server.ClosedEarly.Load(), "slow": l.server.RefusedSlow.Load(),
 		"reloads": l.reload.applied.Load(), "misread": l.reload.failed.Load(), "passed": l.reload.follower.Skipped.Load(),
 	}).Info("counters")
 }
