Clients: a connection that is receiving a request is not idle

What callers saw: on a connection at rest, an upload that was on its way when 5 s had passed since the last response lost its connection, however quickly it was written.

Cause: the idle limit counted from the last response and looked for complete requests only.

Evidence: TestUploadIsNotIdle failed on the code before (the request did not reach the handler).

Fix: a client that has sent a usable request is not idle while it sends another, for which it has its own limit. A client that has sent none has 2 s from its connecting, as before.

--- a/internal/clients/close_test.go
+++ b/internal/clients/close_test.go
@@ -316,6 +316,20 @@
 	s.stop()
 }
 
+// Guards against uploads cut off at the idle limit, which counted from the last response although a request was being received.
+func TestUploadIsNotIdle(t *testing.T) {
+	s := newTestServer(t, 3)
+	client := s.dialIdle()
+	client.Write([]byte(beginRequest(3, 1)))
+	s.sweepAt(idleTimeout + 1)
+	client.Write(bytes.TrimPrefix(completeRequest(3, 1), []byte(beginRequest(3, 1))))
+	s.nextRequest()(Answer{Status: 200})
+	s.readResponse(client)
+	client.Close()
+	s.waitClosed(1)
+	s.stop()
+}
+
 // nextRequest returns the function that answers the next request that reaches the handler.
 func (s *testServer) nextRequest() func(Answer) {
 	s.t.Helper()
--- a/internal/clients/conn.go
+++ b/internal/clients/conn.go
@@ -58,7 +58,7 @@
 		c.endInput()
 		c.nc.Close() // at once, even if the client does not read the replies to what it has sent
 		return 0, true
-	case c.idle() && (late || c.idleTooLong(now)):
+	case c.idle() && (late || c.idleTooLong(now, unfinished)):
 		c.endInput()
 		return 0, true
 	case late:
@@ -72,13 +72,14 @@
 	return 0, false
 }
 
-// idleTooLong reports whether the last request was so long ago that no other is to be expected.
-func (c *Conn) idleTooLong(now float64) bool {
-	limit := requestTimeout
-	if c.useful {
-		limit = idleTimeout
+// idleTooLong reports whether the last request was so long ago that no other is to be expected. A client that has sent a usable
+// request is not idle while it sends another.
+func (c *Conn) idleTooLong(now float64, unfinished bool) bool {
+	idleFor := now - c.lastActive
+	if !c.useful {
+		return idleFor > requestTimeout
 	}
-	return now-c.lastActive > limit
+	return !unfinished && idleFor > idleTimeout
 }
 
 // endInput makes the connection discard its input from now on; the writing goroutine closes it. The caller holds the lock and
