Clients: a connection reads on until its last response is written

Cause: Conn.write decided to end the connection before it wrote the queue, and discarded input from that decision on.

Evidence: TestRequestDuringLastResponseIsAnswered failed on the code before (the second request did not reach the handler).

Fix: the decision is made under the same lock, but after the queue has been written; then the writing half closes at once.

--- a/internal/clients/close_test.go
+++ b/internal/clients/close_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -75,10 +76,17 @@
 }
 
 func newTestServer(t *testing.T, maxConns int) *testServer {
-	s := &testServer{t: t, listener: newGatedListener(t), handler: recordingHandler{make(chan func(Answer), 99), make(chan *Conn, 99), make(chan error, 99)}, done: make(chan error, 1)}
+	listener := newGatedListener(t)
+	s := newTestServerOn(t, maxConns, listener)
+	s.listener = listener
+	return s
+}
+
+func newTestServerOn(t *testing.T, maxConns int, listener net.Listener) *testServer {
+	s := &testServer{t: t, handler: recordingHandler{make(chan func(Answer), 99), make(chan *Conn, 99), make(chan error, 99)}, done: make(chan error, 1)}
 	s.Server = &Server{Bodies: buffer.NewPool(1 << 22), ReadBuffers: buffer.NewPool(1 << 20), Handler: s.handler, MaxConns: maxConns,
 		Now: func() float64 { return float64(s.now.Load()) }}
-	go func() { s.done <- s.Serve(context.Background(), s.listener) }()
+	go func() { s.done <- s.Serve(context.Background(), listener) }()
 	return s
 }
 
@@ -330,6 +338,34 @@
 	s.stop()
 }
 
+// Guards against requests thrown away while the last response of a connection was still being written: the client can't know yet
+// that the connection ends.
+func TestRequestDuringLastResponseIsAnswered(t *testing.T) {
+	for _, c := range closeCauses[:1] {
+		listener := pipeListener{make(chan net.Conn)} // a write lasts until the client has read it
+		s := newTestServerOn(t, 3, listener)
+		client := listener.dial()
+		client.SetDeadline(time.Now().Add(20 * time.Second))
+		client.Write(completeRequest(1, 1))
+		reply := s.nextRequest()
+		c.apply(s)
+		reply(Answer{Status: 200})
+		first := make([]byte, 1)
+		io.ReadFull(client, first) // the response is being written
+		client.Write(completeRequest(2, 1))
+		s.nextRequest()(Answer{Status: 200})
+		rest, err := io.ReadAll(client)
+		if n := strings.Count(decodeRecords(append(first, rest...)), "Status: 200"); n != 2 || err != nil {
+			t.Errorf("%s: %d responses, %v", c.name, n, err)
+		}
+		client.Close()
+		listener.Close()
+		if err := <-s.done; err != nil {
+			t.Error(err)
+		}
+	}
+}
+
 // nextRequest returns the function that answers the next request that reaches the handler.
 func (s *testServer) nextRequest() func(Answer) {
 	s.t.Helper()
--- a/internal/clients/conn.go
+++ b/internal/clients/conn.go
@@ -200,8 +200,6 @@
 		c.mu.Lock()
 		pending, closed := c.queue, c.closed
 		c.queue, c.writing = nil, len(c.queue) > 0
-		finish := c.draining && (len(c.parser.open) == 0 || c.discarding && c.parser.Unanswered() == 0)
-		c.discarding = c.discarding || finish // under the same lock: a request read later could not be answered
 		c.mu.Unlock()
 		if closed {
 			release(pending)
@@ -226,20 +224,28 @@
 		}
 		clear(pieces)
 		release(pending)
-		c.mu.Lock()
-		c.writing = false
-		c.mu.Unlock()
 		if err != nil {
 			c.nc.Close() // the reading goroutine then fails and cleans up
 			return
 		}
-		if finish {
+		if c.finishWriting() {
 			c.closeGracefully()
 			return
 		}
 	}
 }
 
+// finishWriting notes that the queue has been written, and reports whether the connection is to close now. From the moment of
+// that decision its input is discarded, under the same lock, as a request read later could not be answered.
+func (c *Conn) finishWriting() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writing = false
+	finished := c.draining && len(c.queue) == 0 && (len(c.parser.open) == 0 || c.discarding && c.parser.Unanswered() == 0)
+	c.discarding = c.discarding || finished
+	return finished
+}
+
 // closeGracefully closes the writing half after all output is written, and leaves the reading goroutine to read on until the
 // client has closed its half too, or until lingerTimeout has passed.
 func (c *Conn) closeGracefully() {
--- a/internal/mutation/races.go
+++ b/internal/mutation/races.go
@@ -10,13 +10,14 @@
 // raceFaults undo, one at a time, the fixes for races between concurrent events (docs/notes/crossings.md).
 var raceFaults = []fault{
 	{"a request read while its connection ends is accepted", "internal/clients/conn.go", "\t\tif c.discarding {\n", "\t\tif false {\n", clientsPackage, "TestRequestReadDuringCloseIsDiscarded"},
-	{"after the last response the connection still accepts requests", "internal/clients/conn.go", "c.discarding = c.discarding || finish", "_ = finish", clientsPackage, "TestRequestReadDuringCloseIsDiscarded"},
+	{"after the last response the connection still accepts requests", "internal/clients/conn.go", "\tc.discarding = c.discarding || finished\n", "", clientsPackage, "TestRequestReadDuringCloseIsDiscarded"},
 	{"a connection closes with unread bytes", "internal/clients/conn.go", "\t\t\tc.closeGracefully()\n", "\t\t\tc.nc.Close()\n", clientsPackage, "TestUnreadInputDoesNotResetResponse"},
 	{"a client that never closes is read from forever", "internal/clients/conn.go", "c.nc.SetReadDeadline(time.Now().Add(lingerTimeout)) != nil || ", "", clientsPackage, "TestLingerIsBounded"},
 	{"a connection accepted during shutdown is not told of it", "internal/clients/serve.go", "c.draining, c.discarding = s.draining, s.discarding", "c.draining, c.discarding = false, false", clientsPackage, "TestAcceptDuringShutdown"},
 	{"one slow request cuts off other responses", "internal/clients/conn.go", "case late && !c.useful && c.parser.Unanswered() == 0:", "case late:", clientsPackage, "TestSlowRequestKeepsOtherResponses"},
 	{"a slow request ends the input of its connection while others are open", "internal/clients/conn.go", "replies := c.parser.RefuseUnfinished(now - limit)", "replies := c.parser.RefuseUnfinished(now - limit)\n\t\tc.endInput()", clientsPackage, "TestSlowRequestKeepsOtherResponses"},
 	{"a new connection is closed with a complete request open", "internal/clients/conn.go", "late && !c.useful && c.parser.Unanswered() == 0:", "late && !c.useful:", clientsPackage, "TestSweep"},
+	{"a connection stops reading before its last response is written", "internal/clients/conn.go", "c.queue, c.writing = nil, len(c.queue) > 0\n", "c.discarding = c.discarding || c.draining && len(c.parser.open) == 0\n\t\tc.queue, c.writing = nil, len(c.queue) > 0\n", clientsPackage, "TestRequestDuringLastResponseIsAnswered"},
 	{"a slow upload has only the time of an unknown client", "internal/clients/conn.go", "limit = slowRequestTimeout", "limit = requestTimeout", clientsPackage, "TestRequestsDuringSlowUploadAreAnswered"},
 	{"a waiting pull is sent after the end of its download", "internal/gateway/core.go", "\tg.release(d)\n\tg.recallPulls(d)\n", "\tg.release(d)\n", gatewayPackage, "TestNothingSentAfterEnd"},
 	{"a retry is sent after its window", "internal/gateway/core.go", "if a.SendWithin > 0 {", "if false {", gatewayPackage, "TestSendWindow"},
