Clients: a server that stops answers what still comes beside open requests

Cause: DrainAndDiscard had every connection discard its input at once, and close when its open requests were answered.

Evidence: the second row of TestRequestDuringLastResponseIsAnswered failed on the code before (the request did not reach the handler).

Fix: DrainAndDiscard only stops waiting for requests received in part. What comes on a connection that stays open reaches the core, which answers 503 once it has stopped; input is discarded when nothing complete is open, as the connection closes. Connections accepted later still close unread.

--- a/internal/clients/close_test.go
+++ b/internal/clients/close_test.go
@@ -338,10 +338,10 @@
 	s.stop()
 }
 
-// Guards against requests thrown away while the last response of a connection was still being written: the client can't know yet
-// that the connection ends.
+// Guards against requests thrown away while the last response of a connection was still being written, or while others were open
+// as the server stopped: the client can't know yet that the connection ends.
 func TestRequestDuringLastResponseIsAnswered(t *testing.T) {
-	for _, c := range closeCauses[:1] {
+	for _, c := range closeCauses[:2] {
 		listener := pipeListener{make(chan net.Conn)} // a write lasts until the client has read it
 		s := newTestServerOn(t, 3, listener)
 		client := listener.dial()
--- a/internal/clients/conn.go
+++ b/internal/clients/conn.go
@@ -21,7 +21,8 @@
 	queue      []queuedAnswer // at most one response per open request, and protocol-level replies
 	wake       chan struct{}  // wakes the writing goroutine
 	draining   bool           // closes once no request is open
-	discarding bool           // all further input is discarded
+	completing bool           // does not wait for requests received in part when draining
+	discarding bool           // all further input is discarded; set only if no complete request is open
 	closed     bool
 	writing    bool
 	useful     bool    // it has sent a request that was not malformed
@@ -85,7 +86,7 @@
 // endInput makes the connection discard its input from now on; the writing goroutine closes it. The caller holds the lock and
 // has checked that no complete request is open: a request that was read before is answered, and keeps its connection open.
 func (c *Conn) endInput() {
-	c.discarding, c.draining = true, true
+	c.discarding, c.completing, c.draining = true, true, true
 	c.wakeWriter()
 }
 
@@ -241,7 +242,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.writing = false
-	finished := c.draining && len(c.queue) == 0 && (len(c.parser.open) == 0 || c.discarding && c.parser.Unanswered() == 0)
+	open := len(c.parser.open)
+	if c.completing {
+		open = c.parser.Unanswered()
+	}
+	finished := c.draining && len(c.queue) == 0 && open == 0
 	c.discarding = c.discarding || finished
 	return finished
 }
--- a/internal/clients/serve.go
+++ b/internal/clients/serve.go
@@ -96,8 +96,9 @@
 		c.parser.ExtraParams = s.ExtraParams
 		s.mu.Lock()
 		s.conns[c] = true
-		if c.draining, c.discarding = s.draining, s.discarding; c.discarding {
-			c.wakeWriter()
+		c.draining = s.draining
+		if s.discarding {
+			c.endInput()
 		}
 		s.mu.Unlock()
 		g.Go(func() error { c.write(); return nil })
@@ -177,9 +178,10 @@
 	s.updateConns(func(c *Conn) { c.draining = true }, func() { s.draining = true })
 }
 
-// DrainAndDiscard does the same, and discards all further input and all requests received in part.
+// DrainAndDiscard does the same without waiting for requests received in part, and closes connections that are accepted later
+// without reading from them. Until a connection closes, the handler still gets the requests that come on it.
 func (s *Server) DrainAndDiscard() {
-	s.updateConns(func(c *Conn) { c.draining, c.discarding = true, true }, func() { s.draining, s.discarding = true, true })
+	s.updateConns(func(c *Conn) { c.draining, c.completing = true, true }, func() { s.draining, s.discarding = true, true })
 }
 
 // updateConns applies a change to all open connections, and sets the state that later connections start with.
