--- a/internal/channel/follower.go
+++ b/internal/channel/follower.go
@@ -5,14 +5,13 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 )
 
-// Follower follows the channel over one connection at a time and reconnects when it breaks.
+// Follower follows the channel: over one connection at a time, or over several calls while none of them is answered.
 type Follower struct {
 	Address string
 	Cursor  int64       // number of the last event processed
@@ -20,10 +19,12 @@
 	OnError func(error) // receives errors of connections and of events that can't be parsed
 
 	Skipped       atomic.Int64 // events skipped because they were still invalid or missing when requested again
+	Calls         atomic.Int64 // calls of the channel
 	mu            sync.Mutex
 	nextSource    *Source
-	cancel        context.CancelFunc // ends the current connection or back-off
-	retriedCursor int64              // cursor from which events were requested again, as the next one was invalid or missing
+	moved         chan struct{} // wakes Run when nextSource is set
+	schedule      schedule
+	retriedCursor int64 // cursor from which events were requested again, as the next one was invalid or missing
 }
 
 // Source is an address of the channel with the past events known there.
@@ -32,36 +33,36 @@
 	PastEvents []Event
 }
 
-// Time-outs of a connection, and the back-off between attempts. The channel sends a comment each second, so a longer
-// silence means that it has stopped. Events must arrive within 2 s after a connection breaks and within 4 s after it stops
-// silently, including one failed attempt.
-const (
-	connectTimeout = 700 * time.Millisecond
-	readTimeout    = 1800 * time.Millisecond
-	minBackoff     = 50 * time.Millisecond
-	maxBackoff     = 200 * time.Millisecond
-)
-
-// Move makes the follower reconnect to another place at once. The latest of several moves wins.
+// Move makes the follower continue at another place at once. The latest of several moves wins.
 func (f *Follower) Move(p Source) {
 	f.mu.Lock()
-	defer f.mu.Unlock()
 	f.nextSource = &p
-	if f.cancel != nil {
-		f.cancel()
+	f.mu.Unlock()
+	select {
+	case f.moves() <- struct{}{}:
+	default:
 	}
 }
 
-// applyMove starts a new connection context and applies a pending move, if any. It delivers the known events after the
-// cursor up to the first gap; the channel sends the rest.
-func (f *Follower) applyMove(ctx context.Context) (connCtx context.Context, ok bool) {
+// moves returns the channel that wakes Run, which Move may be the first to need.
+func (f *Follower) moves() chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.moved == nil {
+		f.moved = make(chan struct{}, 1)
+	}
+	return f.moved
+}
+
+// applyMove applies a pending move, and reports whether there was one. It delivers the known events after the cursor up to the
+// first gap; the channel sends the rest.
+func (f *Follower) applyMove() (moved bool) {
 	f.mu.Lock()
-	connCtx, f.cancel = context.WithCancel(ctx)
 	p := f.nextSource
 	f.nextSource = nil
 	f.mu.Unlock()
 	if p == nil {
-		return connCtx, false
+		return false
 	}
 	f.Address = p.Address
 	for _, n := range p.PastEvents {
@@ -69,89 +70,93 @@
 			continue
 		}
 		if n.Cursor > f.Cursor+1 {
-			return connCtx, true
+			break
 		}
 		f.Cursor = n.Cursor
 		f.OnEvent(n)
 	}
-	return connCtx, true
+	return true
 }
 
 // Run follows the channel until the context ends.
 func (f *Follower) Run(ctx context.Context) {
 	f.retriedCursor = -1
-	backoff := time.Duration(0)
+	f.schedule.reset(time.Now())
+	events := make(chan callEvent)
+	callsCtx, endCalls := context.WithCancel(ctx)
+	var running sync.WaitGroup
+	defer running.Wait()
+	defer endCalls()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	for ctx.Err() == nil {
-		connCtx, moved := f.applyMove(ctx)
-		if moved {
-			backoff = 0
+		if f.applyMove() {
+			endAll(f.schedule.reset(time.Now())) // the new place may send events again that the old one has sent
 		}
-		start := time.Now()
-		err := f.stream(connCtx)
-		if connCtx.Err() == nil {
-			if !errors.Is(err, io.EOF) {
-				f.OnError(err)
-			}
-			// Reconnect at once if the connection had lasted, or to request an event again. Otherwise back off
-			// exponentially, so that all gateways together don't overload a channel that is starting.
-			if errors.Is(err, errRetry) || time.Since(start) > connectTimeout && !errors.Is(err, errNotConnected) {
-				backoff = 0
-			}
-			select {
-			case <-connCtx.Done():
-			case <-time.After(backoff):
-			}
-			backoff = min(maxBackoff, max(minBackoff, 2*backoff))
+		if now := time.Now(); !now.Before(f.schedule.nextAt) {
+			callCtx, r := f.startCall(callsCtx, events, now)
+			running.Go(func() { r.run(callCtx) })
+		}
+		timer.Reset(time.Until(f.schedule.nextAt))
+		select {
+		case <-ctx.Done():
+		case <-f.moves():
+		case <-timer.C:
+		case e := <-events:
+			f.handleCall(e, time.Now())
 		}
-		f.cancel()
 	}
 }
 
-// Errors that decide on the back-off.
-var (
-	errNotConnected = errors.New("no connection")
-	errRetry        = errors.New("requesting again")
-)
+// startCall adds a call to the schedule and returns its request and the context in which it runs.
+func (f *Follower) startCall(ctx context.Context, events chan<- callEvent, now time.Time) (context.Context, request) {
+	if err := f.schedule.silence(); err != nil {
+		f.OnError(err)
+	}
+	f.Calls.Add(1)
+	c := &call{}
+	ctx, c.cancel = context.WithCancel(ctx)
+	endAll(f.schedule.start(c, now))
+	return ctx, request{call: c, address: f.Address, cursor: f.Cursor, events: events}
+}
 
-// stream requests the events after the cursor and processes them until the connection ends.
-func (f *Follower) stream(ctx context.Context) error {
-	d := net.Dialer{Timeout: connectTimeout}
-	conn, err := d.DialContext(ctx, "tcp", f.Address)
-	if err != nil {
-		return fmt.Errorf("%w: %w", errNotConnected, err)
+// endAll ends calls and closes their connections.
+func endAll(calls []*call) {
+	for _, c := range calls {
+		c.cancel()
 	}
-	defer conn.Close()
-	defer context.AfterFunc(ctx, func() { conn.Close() })()
-	conn.SetDeadline(time.Now().Add(readTimeout))
-	if _, err = fmt.Fprintf(conn, "GET /cmd/next HTTP/1.1\r\nHost: %s\r\nAccept: text/event-stream\r\n"+
-		"Last-Event-ID: %d\r\n\r\n", f.Address, f.Cursor); err != nil {
-		return err
+}
+
+// handleCall handles what has happened to a call, unless the call has been given up since.
+func (f *Follower) handleCall(e callEvent, now time.Time) {
+	if !f.schedule.isOpen(e.call) {
+		return
 	}
-	r, b := NewReader(), make([]byte, 16<<10)
-	var messages []Message
-	for {
-		conn.SetReadDeadline(time.Now().Add(readTimeout))
-		n, err := conn.Read(b)
-		if ctx.Err() != nil {
-			return ctx.Err() // after a move, the new place may send these events again
+	switch e.kind {
+	case callConnected:
+		f.schedule.connected(e.call, now)
+	case callReceived:
+		if e.streaming {
+			endAll(f.schedule.streamed(e.call, now))
 		}
-		var protocolErr error
-		messages, protocolErr = r.Feed(b[:n], messages[:0])
-		for _, m := range messages {
+		for _, m := range e.messages {
 			if err := f.handleMessage(m); err != nil {
-				return err
+				f.endCall(e.call, err, now)
+				return
 			}
 		}
-		if protocolErr != nil {
-			return protocolErr
-		}
-		if r.Done {
-			return io.EOF
-		}
-		if err != nil {
-			return err
-		}
+	case callEnded:
+		f.endCall(e.call, e.err, now)
+	}
+}
+
+// endCall ends a call that has failed.
+func (f *Follower) endCall(c *call, err error, now time.Time) {
+	c.cancel()
+	if !errors.Is(err, io.EOF) {
+		f.OnError(err)
 	}
+	f.schedule.ended(c, err, now)
 }
 
 // handleMessage delivers the next event in order. An event that is invalid or leaves a gap may have been corrupted in
--- a/internal/channel/sse.go
+++ b/internal/channel/sse.go
@@ -45,6 +45,7 @@
 	id           string
 	data         []byte
 	hasData      bool // the current event has a data field
+	Streaming    bool // part of the event stream has been received
 	Done         bool // the response is complete
 }
 
@@ -57,6 +58,7 @@
 	for len(b) > 0 && !r.Done {
 		switch r.state {
 		case inBody, inChunk:
+			r.Streaming = true
 			n := len(b)
 			if r.bytesLeft >= 0 {
 				n = min(n, r.bytesLeft)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -279,6 +279,6 @@
 		"old":     p.TooOld,
 		"buffers": l.buffers.InUse(), "broken": assert.Broken(),
 		"shed": l.server.ClosedEarly.Load(), "slow": l.server.RefusedSlow.Load(),
-		"reloads": l.reload.applied.Load(), "misread": l.reload.failed.Load(), "passed": l.reload.follower.Skipped.Load(),
+		"reloads": l.reload.applied.Load(), "misread": l.reload.failed.Load(), "passed": l.reload.follower.Skipped.Load(), "calls": l.reload.follower.Calls.Load(),
 	}).Info("counters")
 }
--- a/internal/mutation/races.go
+++ b/internal/mutation/races.go
@@ -4,6 +4,7 @@
 const (
 	clientsPackage = "./internal/clients"
 	cachesPackage  = "./internal/caches"
+	channelPackage = "./internal/channel"
 	routerPackage  = "./router"
 )
 
@@ -20,6 +21,9 @@
 	{"a connection stops reading before its last response is written", "internal/clients/conn.go", "c.queue, c.writing = nil, len(c.queue) > 0\n", "c.discarding = c.discarding || c.draining && len(c.parser.open) == 0\n\t\tc.queue, c.writing = nil, len(c.queue) > 0\n", clientsPackage, "TestRequestDuringLastResponseIsAnswered"},
 	{"a shutdown discards what comes on a connection with open requests", "internal/clients/serve.go", "c.draining, c.completing = true, true }", "c.draining, c.completing, c.discarding = true, true, true }", clientsPackage, "TestRequestDuringLastResponseIsAnswered"},
 	{"a slow upload has only the time of an unknown client", "internal/clients/conn.go", "limit = slowRequestTimeout", "limit = requestTimeout", clientsPackage, "TestRequestsDuringSlowUploadAreAnswered"},
+	{"calls without an answer are soon given up", "internal/channel/calls.go", "maxCalls      = 5", "maxCalls      = 2", channelPackage, "TestSlowChannelIsHeard"},
+	{"the oldest call is given up first", "internal/channel/calls.go", "s.calls[1])\n\t\ts.calls = slices.Delete(s.calls, 1, 2)", "s.calls[0])\n\t\ts.calls = slices.Delete(s.calls, 0, 1)", channelPackage, "TestSlowChannelIsHeard"},
+	{"the head of an answer replaces the other calls", "internal/channel/follower.go", "\t\tif e.streaming {\n", "\t\tif true {\n", channelPackage, "TestOnlyStreamReplacesCalls"},
 	{"a waiting pull is sent after the end of its download", "internal/gateway/core.go", "\tg.release(d)\n\tg.recallPulls(d)\n", "\tg.release(d)\n", gatewayPackage, "TestNothingSentAfterEnd"},
 	{"a retry is sent after its window", "internal/gateway/core.go", "if a.SendWithin > 0 {", "if false {", gatewayPackage, "TestSendWindow"},
 	{"the retry window counts from the last pull", "router/router.go", "(a.SendWithin == 0 || remaining < a.SendWithin)", "true", routerPackage, "TestRepeatStaysWithinDedupeWindow"},
