--- a/internal/clients/close_test.go
+++ b/internal/clients/close_test.go
@@ -135,11 +135,17 @@
 	}
 }
 
-// stop stops the server and checks that it has released all buffers and connections.
+// stop stops the server.
 func (s *testServer) stop() {
 	s.t.Helper()
 	s.listener.Close()
 	s.CloseAll()
+	s.checkReleased()
+}
+
+// checkReleased waits for the end of the server and checks that it has released all buffers and connections.
+func (s *testServer) checkReleased() {
+	s.t.Helper()
 	if err := <-s.done; err != nil || s.Bodies.InUse() != 0 || s.ReadBuffers.InUse() != 0 || s.OpenConns() != 0 {
 		s.t.Errorf("not released: %d and %d buffers, %d connections, %v", s.Bodies.InUse(), s.ReadBuffers.InUse(), s.OpenConns(), err)
 	}
@@ -360,9 +366,7 @@
 		}
 		client.Close()
 		listener.Close()
-		if err := <-s.done; err != nil {
-			t.Error(err)
-		}
+		s.checkReleased()
 	}
 }
 
