Sockets tests: the emulated agent of a machine goes by the machine's state

The answer to an agent's `go` was lost with its gateway; asked again, the log said that it counted before, and the agent took that for a refusal and waited in vain. The program did what its rules say; `machines agent` goes by the state already.

Fix: an agent that finds its machine out takes it out, as if it had had the answer. All checks and time limits are as before.

--- a/internal/rehearsal/sockets/maintenance_test.go
+++ b/internal/rehearsal/sockets/maintenance_test.go
@@ -171,9 +171,13 @@
 }
 
 // runAgent emulates the agent of a machine: it starts to drain when granted, takes the machine out once the log permits it, and
-// reports it back after the window.
+// reports it back after the window. As the answer to an order may be lost after the log has it, the agent goes by the machine's state.
 func (mc *machineCluster) runAgent(name string, n int) {
 	wentOut, stageSince, lastStage := false, 0.0, maintenance.InService
+	leave := func() {
+		wentOut = true
+		mc.takeOut(name)
+	}
 	for end := time.Now().Add(100 * time.Second); time.Now().Before(end); time.Sleep(30 * time.Millisecond) {
 		var m maintenancedriver.Machine
 		if err, ok := mc.call(quorumdriver.Query{Subject: "machine", Name: name, Fresh: true}, &m, n); !ok || err != nil {
@@ -200,13 +204,16 @@
 		case maintenance.Draining:
 			if err, ok := mc.submitOrder(maintenance.Leave, o, n); err == nil && ok {
 				mc.recordTime(1, mc.stage.now()-stageSince)
-				wentOut = true
-				mc.takeOut(name)
-				if mc.neverReturn[name] {
+				if leave(); mc.neverReturn[name] {
 					return
 				}
 			}
 		case maintenance.OutOfService, maintenance.Overdue:
+			if !wentOut {
+				if leave(); mc.neverReturn[name] {
+					return
+				}
+			}
 			mc.mu.Lock()
 			since, out := mc.outSince[name]
 			mc.mu.Unlock()
