--- a/internal/rehearsal/sockets/stage.go
+++ b/internal/rehearsal/sockets/stage.go
@@ -43,7 +43,7 @@
 type Options struct {
 	Binary         string                   // path of the gateway binary; no gateways are started if empty
 	Logs           string                   // directory for the gateways' logs; none are kept if empty
-	Addresses      func(name string) string // listen addresses by symbolic address, and for "channel"; nil: chosen by the system
+	Addresses      func(name string) string // listen addresses by symbolic address, and for "channel"; nil: random loopback addresses
 	Facts          func(world.Fact)         // called with each fact of the world
 	Progress       func(at, length float64) // called about every 500 ms with the current time and the length of the script, in ms
 	OperatorConfig func(gateway int) string // appended to a gateway's operator's file at its next start or reload, e.g. failpoints
@@ -77,7 +77,7 @@
 	st := &Stage{Options: o, script: s, tasks: make(chan func(), 4096), dir: dir, endpoints: map[string]*endpoint{}, conns: map[int64]*conn{},
 		lateness: hdrhistogram.New(1, 60_000_000, 3), start: time.Now()}
 	if st.Addresses == nil {
-		st.Addresses = func(string) string { return "127.0.0.1:0" }
+		st.Addresses = func(string) string { return randomLoopback() }
 	}
 	st.ctx, st.stop = context.WithCancelCause(context.Background())
 	st.world = world.New(s, world.Options{Epoch: float64(st.start.UnixMicro()) / 1000, BodyDivisor: 16, OnFact: o.Facts, AcceptUnknown: o.Binary == ""})
@@ -463,10 +463,15 @@
 	return text
 }
 
-// reserveAddress returns an address at which another process can listen, also after restarts. It uses a random loopback address
-// from which nothing dials out: at 127.0.0.1 a port that is briefly free may be assigned to any outgoing connection.
+// randomLoopback returns a random loopback address, to listen on at a port that the system chooses. Nothing dials out from it: at
+// 127.0.0.1 a port that is free while its owner restarts may be assigned to any outgoing connection.
+func randomLoopback() string {
+	return fmt.Sprintf("127.%d.%d.%d:0", 1+rand.IntN(254), rand.IntN(255), 1+rand.IntN(254))
+}
+
+// reserveAddress returns an address at which another process can listen, also after restarts.
 func reserveAddress() (string, error) {
-	l, err := listen(fmt.Sprintf("127.%d.%d.%d:0", 1+rand.IntN(254), rand.IntN(255), 1+rand.IntN(254)))
+	l, err := listen(randomLoopback())
 	if err != nil {
 		return "", err
 	}
