--- a/internal/channel/calls.go
+++ b/internal/channel/calls.go
@@ -19,7 +19,8 @@
 )
 
 // Limits on the calls that wait for an answer side by side. With maxCalls each but the oldest has four times readTimeout for
-// its answer, which is longer than the 7 s after which events count as delivered in any case.
+// its answer once connections come up at once, which is longer than the 7 s after which events count as delivered in any case. Where none
+// comes up it has four times connectTimeout.
 const (
 	maxCalls      = 5
 	maxAnswerWait = 30 * time.Second // for the oldest call
