--- a/review/standin/standin.go
+++ b/review/standin/standin.go
@@ -303,3 +303,6 @@
 	}
 	return Answer{Status: r.Status, Body: string(r.Body), Fields: r.Fields}
 }
+
+// Exited is closed once the process has ended.
+func (g *Gateway) Exited() <-chan struct{} { return g.exited }
