--- a/review/standin/standin.go
+++ b/review/standin/standin.go
@@ -63,6 +63,11 @@
 	}
 	done := make(chan result, 1)
 	go func() {
+		defer func() {
+			if p := recover(); p != nil {
+				done <- result{err: fmt.Errorf("panic: %v", p)}
+			}
+		}()
 		broken, err := body(c)
 		done <- result{broken, err}
 	}()
