Review: each script names its record, and ends its commands at the limit

Cause: record.txt was written by the shared stand-ins alone, so no script showed it, and a script that was not built wrote none; an operator's command could go on for some seconds past a run that reached its limit of time. No check, bound or disruption is changed.

--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,5 +1,10 @@
 #!/bin/sh
 # Case 8. Exit status: 1 the rule was broken, 0 it held, 2 it could not run. TROUBLE=0: without the disruption.
+# What was sent, answered and run is written to record.txt in this folder.
 cd "$(dirname "$0")/../.." || exit 2
-[ -x bin/poppymill ] && [ -x bin/review-8 ] || { echo "build first: the deploy file's build, then review/build-2.sh"; exit 2; }
-exec bin/review-8 review/8
+record=review/8/record.txt
+if [ ! -x bin/poppymill ] || [ ! -x bin/review-8 ]; then
+	echo "not run: the build of the deploy file and review/build-2.sh come first" | tee "$record"
+	exit 2
+fi
+exec bin/review-8 "$record"
--- a/review/standin/standin.go
+++ b/review/standin/standin.go
@@ -35,6 +35,9 @@
 	Trouble bool   // false: the same without the disruption
 	Dir     string // temporary folder
 
+	ctx    context.Context // cancelled at the end
+	cancel context.CancelFunc
+	tools  sync.WaitGroup // commands that run
 	mu     sync.Mutex
 	record *os.File
 	start  time.Time
@@ -42,19 +45,20 @@
 	ended  bool
 }
 
-// Run runs a case whose record goes into folder, ends all that it started, and exits.
-func Run(folder string, limit time.Duration, body func(c *Case) (broken bool, err error)) {
+// Run runs a case, writes its record to a file, ends all that it started, and exits.
+func Run(recordPath string, limit time.Duration, body func(c *Case) (broken bool, err error)) {
 	dir, err := os.MkdirTemp("", "review")
 	if err != nil {
 		fmt.Println("not run:", err)
 		os.Exit(NotRun)
 	}
-	record, err := os.Create(filepath.Join(folder, "record.txt"))
+	record, err := os.Create(recordPath)
 	if err != nil {
 		fmt.Println("not run:", err)
 		os.Exit(NotRun)
 	}
 	c := &Case{Trouble: os.Getenv("TROUBLE") != "0", Dir: dir, record: record, start: time.Now()}
+	c.ctx, c.cancel = context.WithCancel(context.Background())
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
 	type result struct {
@@ -111,6 +115,8 @@
 	c.ended = true
 	ends := c.ends
 	c.mu.Unlock()
+	c.cancel()
+	c.tools.Wait()
 	for i := len(ends) - 1; i >= 0; i-- {
 		ends[i]()
 	}
@@ -274,7 +280,15 @@
 
 // Tool runs a sub-command of the project's command line and returns what it printed and its exit status.
 func (c *Case) Tool(limit time.Duration, args ...string) (string, int, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	c.mu.Lock()
+	if c.ended {
+		c.mu.Unlock()
+		return "", -1, context.Canceled
+	}
+	c.tools.Add(1)
+	c.mu.Unlock()
+	defer c.tools.Done()
+	ctx, cancel := context.WithTimeout(c.ctx, limit)
 	defer cancel()
 	cmd := exec.CommandContext(ctx, "bin/poppymill", args...)
 	var out bytes.Buffer
