--- a/cmd/poppymill/link.go
+++ b/cmd/poppymill/link.go
@@ -107,11 +107,13 @@
 		return usageError(err)
 	}
 	s := links.Defaults()
-	s.Base, s.Form, s.Audience, s.HasStore = strings.TrimSuffix(cmd.String("base"), "/"), cmd.String("form"), cmd.StringSlice("audience"), true
+	s.Base, s.Form, s.Audience = strings.TrimSuffix(cmd.String("base"), "/"), cmd.String("form"), cmd.StringSlice("audience")
 	now := float64(time.Now().UnixMilli())
 	request := links.Request{At: now, Source: cmd.String("address"), Token: cmd.Args().First(), ID: "verify", Type: cmd.String("type"),
 		Object: objectID(cmd.Args().Get(1)), Part: int64(cmd.Int("part")), Write: cmd.Bool("write")}
-	if err := links.New(s, keySet, []byte("of this one look"), now).Explain(request); err != nil {
+	authorizer := links.New(s, keySet, []byte("of this one look"), now)
+	authorizer.RecordSince(0) // the question is whether the link is valid, not whether it was spent
+	if err := authorizer.Explain(request); err != nil {
 		fmt.Println(err)
 		return cli.Exit("", 1)
 	}
--- a/internal/gateway/link_driver.go
+++ b/internal/gateway/link_driver.go
@@ -39,6 +39,7 @@
 		if d.store, err = linksdriver.OpenStore(b.Store, clock.now(), func(s links.SpentToken) { admission.Restore(s, clock.now()) }); err != nil {
 			return nil, err
 		}
+		admission.RecordSince(d.store.Since)
 		store = d.store
 	}
 	core.RequireSignedLinks(admission, b, store, p.post, clock.now)
--- a/internal/gateway/links_test.go
+++ b/internal/gateway/links_test.go
@@ -116,9 +116,15 @@
 	}
 
 	// A write requested by many clients at once, each on its own connection, with the same token.
-	w := links.Claims{ID: "w", Issued: now, Expires: now + 100, Write: true, Critical: links.CriticalWrite,
+	// The store is new, so only tokens issued after it was created can be known not to have been spent.
+	w := links.Claims{ID: "w", Issued: float64(time.Now().UnixMicro()) / 1e6, Expires: now + 100, Write: true, Critical: links.CriticalWrite,
 		URI: links.Hash(links.URI(linkBase, "renewal", object, 0))}
 	token := issue(t, f, w)
+	older := w
+	older.ID, older.Issued = "older", now-10
+	if r := s.getWithToken(issue(t, f, older), "renewal", object, "0"); r.Status != 403 || s.count(s.pullsByType, "renewal") != 0 {
+		t.Errorf("a write issued before the new store: status %d, sent %d times", r.Status, s.count(s.pullsByType, "renewal"))
+	}
 	s.world.Do(func(w *world.World) { w.ApplyEvent(script.Event{Kind: "slow", On: "core", Factor: 30, Duration: 400}) })
 	var group sync.WaitGroup
 	var mu sync.Mutex
--- a/internal/links/authorizer.go
+++ b/internal/links/authorizer.go
@@ -23,20 +23,21 @@
 // Authorizer authorizes downloads. It is not safe for concurrent use.
 type Authorizer struct {
 	Counters
-	settings  Settings
-	keySet    *KeySet
-	secret    []byte
-	startedAt float64
-	shift     float64 // ms by which the wall clock is ahead of the gateway's monotonic clock; never decreases
-	replays   *replayTable
-	verified  *tokenCache
-	limiter   checkLimiter
-	spending  map[string]SpentToken // by download id: the token that a running download has spent
+	settings    Settings
+	keySet      *KeySet
+	secret      []byte
+	startedAt   float64
+	recordSince float64 // Unix ms: each write token spent here that was issued later is in the replay table
+	shift       float64 // ms by which the wall clock is ahead of the gateway's monotonic clock; never decreases
+	replays     *replayTable
+	verified    *tokenCache
+	limiter     checkLimiter
+	spending    map[string]SpentToken // by download id: the token that a running download has spent
 }
 
 // New returns an Authorizer. The secret keys the hashes of its tables and must differ at each start.
 func New(s Settings, r *KeySet, secret []byte, at float64) *Authorizer {
-	return &Authorizer{settings: s, keySet: r, secret: secret, startedAt: at, replays: newReplayTable(s.Memory), verified: newTokenCache(s.Memory),
+	return &Authorizer{settings: s, keySet: r, secret: secret, startedAt: at, recordSince: at, replays: newReplayTable(s.Memory), verified: newTokenCache(s.Memory),
 		limiter: checkLimiter{perSource: s.ChecksPerSource, total: s.ChecksTotal}, spending: map[string]SpentToken{}}
 }
 
@@ -54,6 +55,19 @@
 // the next start, as following it would make expired tokens valid again.
 func (d *Authorizer) SetWallClock(at, wall float64) { d.shift = max(d.shift, wall-at) }
 
+// RecordSince reports that Restore is called with each unexpired token that was spent here since a time, in Unix ms. Without
+// it the record of spent tokens begins at the start. Write tokens issued before the record begins are refused: that one of
+// them is not in the record does not prove that it was never spent.
+func (d *Authorizer) RecordSince(since float64) { d.recordSince = min(d.recordSince, since) }
+
+// recordBegins returns when the record of spent tokens begins. A record that begins at this start moves with the wall clock.
+func (d *Authorizer) recordBegins() float64 {
+	if d.recordSince < d.startedAt {
+		return d.recordSince
+	}
+	return d.startedAt + d.shift
+}
+
 // Restore enters a token that was spent before this start into the replay table.
 func (d *Authorizer) Restore(s SpentToken, now float64) {
 	if s.Expires > now {
@@ -345,8 +359,8 @@
 	if a.Write {
 		maxUses = 1
 		expires = max(expires, 1000*c.Issued+s.MaxChainAge+s.Skew)
-		if !s.HasStore && (c.Issued == 0 || 1000*c.Issued < d.startedAt+d.shift) {
-			return tokenErrorf(IssuedBeforeStart, "iat", "tokens issued before the start cannot be checked for replay")
+		if c.Issued == 0 || 1000*c.Issued < d.recordBegins() {
+			return tokenErrorf(IssuedBeforeRecord, "iat", "the record of spent tokens begins later")
 		}
 		if owner := spender(s.Spenders, key); owner != "" && owner != s.Name {
 			return tokenErrorf(OtherGateway, "jti", "only gateway %s may spend it", owner)
--- a/internal/links/driver/driver_test.go
+++ b/internal/links/driver/driver_test.go
@@ -142,6 +142,54 @@
 	}
 }
 
+// Guards against a record of spent tokens that is new, lost or cut short being taken as proof that a token was never spent:
+// such a store either says that it begins now, or does not open.
+func TestStoreThatIsNewOrShortenedProvesNothing(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "spent.db")
+	open := func(path string, now float64) (*Store, int, error) {
+		stored := 0
+		s, err := OpenStore(path, now, func(links.SpentToken) { stored++ })
+		return s, stored, err
+	}
+	s, _, err := open(path, 1e12)
+	if err != nil || s.Since != 1e12 {
+		t.Fatalf("new: complete since %v, %v", s, err)
+	}
+	spends := make([]change, maxBatch)
+	for n := range spends {
+		spends[n] = change{spend: testSpend(n), done: func(error) {}}
+		s.queue <- spends[n]
+	}
+	s.commitBatch(<-s.queue)
+	s.db.Close()
+	if s, stored, err := open(path, 1e12+5); err != nil || s.Since != 1e12 || stored != maxBatch {
+		t.Fatalf("opened again: %+v, %d entries, %v", s, stored, err)
+	} else {
+		s.db.Close()
+	}
+	whole, _ := os.ReadFile(path)
+	for size := 0; size < len(whole); size += 512 {
+		cut := filepath.Join(t.TempDir(), "cut.db") // a file of its own, as a corrupt one may stay locked until the process ends
+		os.WriteFile(cut, whole[:size], 0o600)
+		s, stored, err := open(cut, 15e11)
+		switch {
+		case err != nil && !strings.Contains(err.Error(), cut):
+			t.Errorf("cut to %d of %d bytes: the error names no file: %v", size, len(whole), err)
+		case err == nil && s.Since != 15e11 && stored != maxBatch:
+			t.Errorf("cut to %d of %d bytes: complete since %.0f with %d of %d entries", size, len(whole), s.Since, stored, maxBatch)
+		}
+		if err == nil {
+			s.db.Close()
+		}
+	}
+	os.Remove(path)
+	if s, _, err = open(path, 3e12); err != nil || s.Since != 3e12 {
+		t.Errorf("lost: complete since %v, %v", s, err)
+	} else {
+		s.db.Close()
+	}
+}
+
 // A token is found where the block says. A token that occurs twice is refused.
 func TestToken(t *testing.T) {
 	for _, c := range []struct {
--- a/internal/links/driver/store.go
+++ b/internal/links/driver/store.go
@@ -10,12 +10,14 @@
 
 	bolt "go.etcd.io/bbolt"
 
+	"poppymill/internal/boltstore"
 	"poppymill/internal/links"
 )
 
 // Store keeps spent tokens across restarts (go.etcd.io/bbolt). A write that was confirmed is on the disk. A write that was not
 // confirmed may or may not be on the disk, and counts as spent if it is.
 type Store struct {
+	Since   float64 // Unix ms from which on the store is complete
 	db      *bolt.DB
 	queue   chan change
 	Expired int          // number of expired entries that were deleted
@@ -40,49 +42,85 @@
 	spentBucket  = []byte("spent")
 	metaBucket   = []byte("meta")
 	versionKey   = []byte("version")
+	sinceKey     = []byte("since") // Unix ms as float64: the store holds each token spent since then that has not expired
 	errQueueFull = errors.New("store: write queue is full")
 )
 
-// OpenStore opens or creates a store, and calls restore for each entry that has not expired.
+// OpenStore opens or creates a store, and calls restore for each entry that has not expired. A store that is created now, or
+// does not say since when it is complete, is complete since now. A store that is shorter than it was or corrupt is an error.
 func OpenStore(path string, now float64, restore func(links.SpentToken)) (*Store, error) {
-	db, err := bolt.Open(path, 0o600, &bolt.Options{Timeout: time.Second})
+	s, err := openStore(path, now, restore)
+	if boltstore.IsCorrupt(err) {
+		err = fmt.Errorf("%w; without the file the gateway starts, and refuses writes under links issued before", err)
+	}
 	if err != nil {
 		return nil, fmt.Errorf("store %s: %w", path, err)
 	}
-	s := &Store{db: db, queue: make(chan change, maxQueued), onStep: func(string) {}}
-	err = db.Update(func(tx *bolt.Tx) error {
-		meta, err := tx.CreateBucketIfNotExists(metaBucket)
-		if err != nil {
+	return s, nil
+}
+
+func openStore(path string, now float64, restore func(links.SpentToken)) (s *Store, err error) {
+	defer boltstore.RecoverCorruption(&err)()
+	db, err := boltstore.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	s = &Store{db: db, queue: make(chan change, maxQueued), onStep: func(string) {}}
+	if err := db.Update(func(tx *bolt.Tx) error { return s.load(tx, now, restore) }); err != nil {
+		return nil, errors.Join(err, db.Close())
+	}
+	return s, nil
+}
+
+// load reads the store, and creates what it lacks.
+func (s *Store) load(tx *bolt.Tx, now float64, restore func(links.SpentToken)) (err error) {
+	defer boltstore.RecoverCorruption(&err)()
+	meta, err := tx.CreateBucketIfNotExists(metaBucket)
+	if err != nil {
+		return err
+	}
+	if v := meta.Get(versionKey); v == nil {
+		if err := meta.Put(versionKey, []byte{storeVersion}); err != nil {
 			return err
 		}
-		if v := meta.Get(versionKey); v == nil {
-			if err := meta.Put(versionKey, []byte{storeVersion}); err != nil {
-				return err
-			}
-		} else if len(v) != 1 || v[0] != storeVersion {
-			return fmt.Errorf("version is %v, want %d", v, storeVersion)
+	} else if len(v) != 1 || v[0] != storeVersion {
+		return fmt.Errorf("version is %v, want %d", v, storeVersion)
+	}
+	if s.Since, err = loadSince(meta, now); err != nil {
+		return err
+	}
+	bucket, err := tx.CreateBucketIfNotExists(spentBucket)
+	if err != nil {
+		return err
+	}
+	return bucket.ForEach(func(k, v []byte) error {
+		if len(k) != 16 || len(v) != 8 {
+			return fmt.Errorf("entry has a key of %d bytes and a value of %d bytes", len(k), len(v))
 		}
-		bucket, err := tx.CreateBucketIfNotExists(spentBucket)
-		if err != nil {
-			return err
+		spend := links.SpentToken{Key: [16]byte(k), Expires: decodeFloat(v)}
+		if spend.Expires > now {
+			restore(spend)
 		}
-		return bucket.ForEach(func(k, v []byte) error {
-			if len(k) != 16 || len(v) != 8 {
-				return fmt.Errorf("entry has a key of %d bytes and a value of %d bytes", len(k), len(v))
-			}
-			spend := links.SpentToken{Key: [16]byte(k), Expires: math.Float64frombits(binary.BigEndian.Uint64(v))}
-			if spend.Expires > now {
-				restore(spend)
-			}
-			return nil
-		})
+		return nil
 	})
-	if err != nil {
-		return nil, errors.Join(fmt.Errorf("store %s: %w", path, err), db.Close())
+}
+
+// loadSince reads since when the store is complete, and sets it to now if the store does not say.
+func loadSince(meta *bolt.Bucket, now float64) (float64, error) {
+	v := meta.Get(sinceKey)
+	if v == nil {
+		return now, meta.Put(sinceKey, encodeFloat(now))
 	}
-	return s, nil
+	if len(v) != 8 {
+		return 0, fmt.Errorf("%s: %d bytes, want 8", sinceKey, len(v))
+	}
+	return decodeFloat(v), nil
 }
 
+func encodeFloat(f float64) []byte { return binary.BigEndian.AppendUint64(nil, math.Float64bits(f)) }
+
+func decodeFloat(b []byte) float64 { return math.Float64frombits(binary.BigEndian.Uint64(b)) }
+
 // Write queues a spend to be stored. It never blocks. done is called once, from another goroutine, when the spend is on the
 // disk or could not be written.
 func (s *Store) Write(spend links.SpentToken, done func(error)) {
@@ -153,7 +191,7 @@
 				}
 				continue
 			}
-			if err := bucket.Put(key, binary.BigEndian.AppendUint64(nil, math.Float64bits(c.spend.Expires))); err != nil {
+			if err := bucket.Put(key, encodeFloat(c.spend.Expires)); err != nil {
 				return err
 			}
 		}
@@ -171,7 +209,7 @@
 	return s.db.Update(func(tx *bolt.Tx) error {
 		cursor := tx.Bucket(spentBucket).Cursor()
 		for k, v := cursor.First(); k != nil; k, v = cursor.Next() {
-			if len(v) == 8 && math.Float64frombits(binary.BigEndian.Uint64(v)) <= now {
+			if len(v) == 8 && decodeFloat(v) <= now {
 				if err := cursor.Delete(); err != nil {
 					return err
 				}
--- a/internal/links/links.go
+++ b/internal/links/links.go
@@ -67,9 +67,9 @@
 	RateLimited // the signature check was rate-limited: the one refusal for which a retry of the same request can succeed
 	BadSignature
 	Replayed
-	ReplayTableFull   // the replay table is full, so a download that must not run twice is refused
-	IssuedBeforeStart // issued before this gateway started; it has no record of tokens spent before
-	OtherGateway      // only another gateway may spend the token
+	ReplayTableFull    // the replay table is full, so a download that must not run twice is refused
+	IssuedBeforeRecord // issued before the record of spent tokens begins: at the start of the gateway, or with its store
+	OtherGateway       // only another gateway may spend the token
 	numReasons
 )
 
--- a/internal/links/links_test.go
+++ b/internal/links/links_test.go
@@ -203,7 +203,7 @@
 	}
 	// After a restart the replay table is empty: tokens issued before are refused, unless a store restores the spent ones.
 	restarted := New(testSettings(), r, []byte("other"), testTime+1500)
-	if v := restarted.Admit(writeAsk(token, "g")); v.Reason != IssuedBeforeStart {
+	if v := restarted.Admit(writeAsk(token, "g")); v.Reason != IssuedBeforeRecord {
 		t.Errorf("after a restart: %v", v.Reason)
 	}
 	s := testSettings()
@@ -214,6 +214,7 @@
 		t.Fatalf("with a store: %+v", v)
 	}
 	again := New(s, r, []byte("two"), testTime+1000)
+	again.RecordSince(testTime)
 	again.Restore(*v.SpentToken, testTime+1000)
 	if got := again.Admit(writeAsk(token, "i")); got.Reason != Replayed {
 		t.Errorf("after a restart with a store: %v", got.Reason)
--- a/internal/rehearsal/world/signed_links.go
+++ b/internal/rehearsal/world/signed_links.go
@@ -117,7 +117,7 @@
 		return true
 	}
 	s := w.LinkSettings()
-	s.Audience, s.HasStore = []string{b.id}, true
+	s.Audience = []string{b.id}
 	s.Memory = 1 << 10
 	a := links.Request{At: w.epoch + w.now, Token: token, ID: r.id, Type: r.typ.Name, Object: r.key.object, Part: int64(r.key.part), Write: r.typ.Write}
 	return links.New(s, w.issuer.boxKeySet, []byte(b.id), 0).Admit(a).Reason == links.Admitted
