Links: a spent link that finds no room at a restart stays spent

What callers would see: with a `memory` that holds fewer links than the store, a spent link could be used again once others had expired.

Cause: Authorizer.Restore ignored that its group of the replay table was full, so the record was shorter than the store, and a missing entry was taken as proof.

Change: a group that could not take an entry takes no new key until that entry has ended.

Evidence: TestRestoredSpendsThatDoNotFitStaySpent, old code: "at 30000: admitted, want memory full"; passes now. The field replayTable.used, which nothing used, is gone.

--- a/internal/links/authorizer.go
+++ b/internal/links/authorizer.go
@@ -71,7 +71,7 @@
 // Restore enters a token that was spent before this start into the replay table.
 func (d *Authorizer) Restore(s SpentToken, now float64) {
 	if s.Expires > now {
-		d.replays.use(s.Key, now, s.Expires, 1)
+		d.replays.restore(s.Key, now, s.Expires)
 	}
 }
 
--- a/internal/links/links_test.go
+++ b/internal/links/links_test.go
@@ -7,6 +7,7 @@
 	"crypto/rand"
 	"encoding/json"
 	"fmt"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -578,3 +579,23 @@
 		t.Errorf("%d slots, %d before, %d refused, the first: %v", len(s.slots), slots, full, why)
 	}
 }
+
+// Guards against a restored record that does not fit the table being dropped: once other entries expire, its token would be
+// admitted again.
+func TestRestoredSpendsThatDoNotFitStaySpent(t *testing.T) {
+	table := newReplayTable(0) // one group
+	key := func(n int) [16]byte { return digest(nil, "key", strconv.Itoa(n)) }
+	for n := range groupSlots {
+		table.restore(key(n), 0, 10_000)
+	}
+	late := key(groupSlots)
+	table.restore(late, 0, 60_000)
+	for _, c := range []struct {
+		now  float64
+		want Reason
+	}{{5_000, ReplayTableFull}, {30_000, ReplayTableFull}, {59_999, ReplayTableFull}, {60_000, Admitted}} {
+		if reason, _ := table.use(late, c.now, 90_000, 1); reason != c.want {
+			t.Errorf("at %.0f: %v, want %v", c.now, reason, c.want)
+		}
+	}
+}
--- a/internal/links/tables.go
+++ b/internal/links/tables.go
@@ -26,8 +26,8 @@
 // arrives. The slots are divided into groups, and the slots of expired entries are free. A lookup never probes beyond its
 // group, so no token costs more than one group. A full group is reported: an entry that has not expired is never evicted.
 type replayTable struct {
-	slots []replaySlot
-	used  int // not in use
+	slots      []replaySlot
+	incomplete map[int]float64 // by group: Unix ms until which an entry that found no slot would last; bounded by the groups
 }
 
 type replaySlot struct {
@@ -42,13 +42,24 @@
 )
 
 func newReplayTable(bytes int) *replayTable {
-	return &replayTable{slots: make([]replaySlot, max(1, bytes/replaySlotBytes/groupSlots)*groupSlots)}
+	return &replayTable{slots: make([]replaySlot, max(1, bytes/replaySlotBytes/groupSlots)*groupSlots), incomplete: map[int]float64{}}
+}
+
+// restore enters a key that was used up before the start. If its group has no free slot, the group takes no new key until
+// the entry would have expired: a key that is missing there may be this one.
+func (t *replayTable) restore(key [16]byte, now, expires float64) {
+	if reason, ok := t.use(key, now, expires, 1); ok || reason == Replayed {
+		return
+	}
+	group := groupIndex(key, len(t.slots)/groupSlots)
+	t.incomplete[group] = max(t.incomplete[group], expires)
 }
 
 // use counts one more use of a key, up to maxUses. It returns false with Replayed if the key has no uses left, and with
 // ReplayTableFull if its group has no free slot.
 func (t *replayTable) use(key [16]byte, now, expires float64, maxUses uint16) (Reason, bool) {
-	first := groupIndex(key, len(t.slots)/groupSlots) * groupSlots
+	group := groupIndex(key, len(t.slots)/groupSlots)
+	first := group * groupSlots
 	free := -1
 	for i := first; i < first+groupSlots; i++ {
 		slot := &t.slots[i]
@@ -62,7 +73,7 @@
 			return Admitted, true
 		}
 	}
-	if free < 0 {
+	if free < 0 || now < t.incomplete[group] {
 		return ReplayTableFull, false
 	}
 	t.slots[free] = replaySlot{key: key, expires: uint32(min(float64(^uint32(0)), expires/1000+1)), uses: 1}
