Links: a larger skew does not make a spent link good again

What callers would see: a write's link, spent and ended, is taken again after `skew` was raised on SIGHUP, and the write runs twice.

Cause: the entry in the replay table and in the store ended by the skew in force when the link was spent, the link itself by the skew in force when it is shown.

Change: entries of writes outlast the largest skew that may be configured (one minute).

Evidence: TestLargerSkewDoesNotReviveSpentToken, old code: "admitted again 303000 ms later"; passes now.

--- a/internal/links/authorizer.go
+++ b/internal/links/authorizer.go
@@ -358,7 +358,8 @@
 	expires := 1000*c.Expires + s.Skew
 	if a.Write {
 		maxUses = 1
-		expires = max(expires, 1000*c.Issued+s.MaxChainAge+s.Skew)
+		// The entry outlives each skew that a later configuration may allow, or the token would be valid without its entry.
+		expires = max(1000*c.Expires, 1000*c.Issued+s.MaxChainAge) + maxSkewMillis
 		if c.Issued == 0 || 1000*c.Issued < d.recordBegins() {
 			return tokenErrorf(IssuedBeforeRecord, "iat", "the record of spent tokens begins later")
 		}
--- a/internal/links/driver/driver.go
+++ b/internal/links/driver/driver.go
@@ -36,7 +36,7 @@
 		operator.RequiredAttr("keys", operator.String(&b.Keys)), operator.RequiredAttr("base", operator.String(&s.Base)),
 		operator.Attr("form", operator.OneOf(&s.Form, "uri-signing", "compact")),
 		operator.Attr("from", operator.OneOf(&b.From, "query", "header", "cookie")), operator.Attr("name", operator.String(&b.Name)),
-		operator.Attr("audience", operator.StringList(&s.Audience)), operator.Attr("skew", operator.Duration(&s.Skew, 0, time.Minute)),
+		operator.Attr("audience", operator.StringList(&s.Audience)), operator.Attr("skew", operator.Duration(&s.Skew, 0, links.MaxSkew)),
 		operator.Attr("longest", operator.Duration(&s.MaxLifetime, time.Second, 30*24*time.Hour)),
 		operator.Attr("chain", operator.Duration(&s.MaxChainAge, time.Second, 30*24*time.Hour)),
 		operator.Attr("renew_within", operator.Duration(&s.RenewWithin, 0, 24*time.Hour)), operator.Attr("reuse", operator.Int(&s.MaxReads, 0, 60_000)),
--- a/internal/links/links.go
+++ b/internal/links/links.go
@@ -101,6 +101,11 @@
 	HasStore         bool     // spent tokens are stored, and read back after a restart
 }
 
+// MaxSkew is the largest Settings.Skew that may be configured.
+const MaxSkew = time.Minute
+
+const maxSkewMillis = float64(MaxSkew / time.Millisecond)
+
 // Limits on the form of a token.
 const (
 	maxTokenBytes   = 4096
--- a/internal/links/links_test.go
+++ b/internal/links/links_test.go
@@ -599,3 +599,24 @@
 		}
 	}
 }
+
+// Guards against a spent token that a larger skew makes valid once more, after its entry has expired.
+func TestLargerSkewDoesNotReviveSpentToken(t *testing.T) {
+	r := newTestKeySet(t, testKey("ed", "EdDSA", Signing))
+	token := sign(t, r, validClaims().with(asWrite))
+	s := testSettings()
+	s.MaxChainAge = 0
+	d := New(s, r, []byte("secret"), testTime)
+	if v := d.Admit(writeAsk(token, "a")); v.Reason != Admitted {
+		t.Fatal(v.Reason)
+	}
+	s.Skew = maxSkewMillis
+	d.SetSettings(s)
+	request := writeAsk(token, "b")
+	for range 600 {
+		if v := d.Admit(request); v.Reason == Admitted {
+			t.Fatalf("admitted again %.0f ms later", request.At-testTime)
+		}
+		request.At += 1000
+	}
+}
