--- a/cmd/poppymill/serve.go
+++ b/cmd/poppymill/serve.go
@@ -40,9 +40,14 @@
 		Flags: setupFlags(), Action: check}
 }
 
-// loadSetup reads both files; an error in either makes both unusable.
+// loadConfig reads the platform's configuration.
+func loadConfig(cmd *cli.Command) (*gatewayconfig.Config, error) {
+	return gatewayconfig.Load(cmd.String("config"), os.Getenv)
+}
+
+// loadSetup reads both files for a start; an error in either makes both unusable.
 func loadSetup(cmd *cli.Command) (gateway.Setup, error) {
-	c, err := gatewayconfig.Load(cmd.String("config"), os.Getenv)
+	c, err := loadConfig(cmd)
 	if err != nil {
 		return gateway.Setup{}, err
 	}
@@ -52,22 +57,25 @@
 
 func serve(ctx context.Context, cmd *cli.Command) error {
 	log := logrus.StandardLogger()
-	load := func() (gateway.Setup, error) {
-		s, err := loadSetup(cmd)
-		if err == nil {
-			s.Operator.Log.Apply(log)
-		}
-		return s, err
-	}
-	s, err := load()
+	s, err := loadSetup(cmd)
 	if err != nil {
 		return err
 	}
+	s.Operator.Log.Apply(log)
+	reloads := gateway.Reloads{Signals: reloadSignals,
+		LoadConfig: func() (*gatewayconfig.Config, error) { return loadConfig(cmd) },
+		LoadOperator: func() (*gateway.Settings, error) {
+			o, err := gateway.LoadSettings(cmd.String("operator"))
+			if err == nil {
+				o.Log.Apply(log)
+			}
+			return o, err
+		}}
 	runtime.GOMAXPROCS(1)
 	signal.Ignore(syscall.SIGXFSZ) // exceeding the file size limit must fail the write, not end the process and all its downloads
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	return gateway.Serve(ctx, s, gateway.Reloads{Signals: reloadSignals, Load: load}, log)
+	return gateway.Serve(ctx, s, reloads, log)
 }
 
 func check(_ context.Context, cmd *cli.Command) error {
--- a/internal/gateway/fairness.go
+++ b/internal/gateway/fairness.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"reflect"
 	"slices"
 	"strings"
 	"time"
@@ -57,6 +58,12 @@
 	}
 }
 
+// needsRestart reports whether a block differs from that of the start in what a running gateway does not take up.
+func (f Fairness) needsRestart(start Fairness) bool {
+	f.PriorityTypes, f.Settings.Weights = start.PriorityTypes, start.Settings.Weights
+	return !reflect.DeepEqual(f, start)
+}
+
 // headerParam returns the CGI param of the header in "header NAME", and whether text has this form.
 func headerParam(text string) (string, bool) {
 	name, ok := strings.CutPrefix(text, "header ")
--- a/internal/gateway/link_driver.go
+++ b/internal/gateway/link_driver.go
@@ -3,7 +3,8 @@
 import (
 	"context"
 	"crypto/rand"
-	"errors"
+	"slices"
+	"sync"
 
 	"golang.org/x/sync/errgroup"
 
@@ -15,6 +16,8 @@
 // part of the core.
 type linkDriver struct {
 	block  linksdriver.Block // as of the start
+	mu     sync.Mutex
+	newest linksdriver.Block // the newest block, as far as it can be taken up without a restart
 	poster *poster
 	clock  clock
 	store  *linksdriver.Store
@@ -23,7 +26,7 @@
 // newLinkDriver makes the core require signed links if the operator's file enables them, and does nothing otherwise.
 func newLinkDriver(b linksdriver.Block, core *Core, p *poster, clock clock) (*linkDriver, error) {
 	b.Settings.Name = core.config.Name
-	d := &linkDriver{block: b, poster: p, clock: clock}
+	d := &linkDriver{block: b, newest: b, poster: p, clock: clock}
 	if !b.On {
 		return d, nil
 	}
@@ -57,9 +60,9 @@
 	g.Go(func() error {
 		err := linksdriver.Watch(ctx, d.block.Keys, func() {
 			// A reload on SIGHUP may have changed the block; the watched file remains that of the start.
-			if err := d.rekey(r.operator.Load().Links); err != nil {
+			if err := d.reloadKeys(); err != nil {
 				r.failed.Add(1)
-				r.log.WithError(err).Error("cannot load the signed-link keys; keeping the previous ones")
+				r.log.WithError(err).Error(keysRefused)
 			} else {
 				r.log.WithField("keys", d.block.Keys).Info("signed-link keys reloaded")
 			}
@@ -71,22 +74,49 @@
 	})
 }
 
-// errNeedsRestart is returned for changes of the links block that a reload cannot apply.
-var errNeedsRestart = errors.New("links: enabling, disabling or changing the store needs a restart")
+// keysRefused is the log line for keys that cannot be loaded.
+const keysRefused = "cannot load the signed-link keys; keeping the previous ones"
 
-// rekey loads the keys named by a block and passes them to the core, all of them or none.
+// needsRestart reports whether a block differs from that of the start in what a reload cannot apply.
+func (d *linkDriver) needsRestart(b linksdriver.Block) bool {
+	return b.On != d.block.On || b.On && (b.Store != d.block.Store || d.movesToken(b))
+}
+
+// movesToken reports whether a block has the token in a param that the running server does not keep.
+func (d *linkDriver) movesToken(b linksdriver.Block) bool {
+	return b.From == "header" && !slices.Equal(b.Params(), d.block.Params())
+}
+
+// rekey passes a block to the core with the keys that it names, all of them or none. What needs a restart stays as it is. If
+// the keys cannot be read, the block waits for the key file's next change.
 func (d *linkDriver) rekey(b linksdriver.Block) error {
-	if b.On != d.block.On || b.Store != d.block.Store {
-		return errNeedsRestart
-	}
-	if !b.On {
+	if !b.On || !d.block.On {
 		return nil
 	}
-	keySet, err := b.ReadKeys()
+	if d.movesToken(b) {
+		b.From, b.Name = d.block.From, d.block.Name
+	}
+	b.Store, b.Settings.HasStore, b.Settings.Name = d.block.Store, d.block.Settings.HasStore, d.block.Settings.Name
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.newest = b
+	return d.loadKeys()
+}
+
+// reloadKeys loads the keys of the newest block once more.
+func (d *linkDriver) reloadKeys() error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.loadKeys()
+}
+
+// loadKeys loads the keys of the newest block and passes both to the core. The caller holds the lock, so that blocks arrive
+// in order.
+func (d *linkDriver) loadKeys() error {
+	keySet, err := d.newest.ReadKeys()
 	if err != nil {
 		return err
 	}
-	b.Settings.Name = d.block.Settings.Name
-	d.poster.post(KeysReloaded{Ring: keySet, Block: b})
+	d.poster.post(KeysReloaded{Ring: keySet, Block: d.newest})
 	return nil
 }
--- a/internal/gateway/scripted_peers_test.go
+++ b/internal/gateway/scripted_peers_test.go
@@ -87,6 +87,14 @@
 	return Setup{Config: c, Operator: &Settings{}}, err
 }
 
+func (s *scripted) reloads() Reloads {
+	return Reloads{Signals: s.hup, LoadOperator: func() (*Settings, error) { return &Settings{}, nil },
+		LoadConfig: func() (*gatewayconfig.Config, error) {
+			setup, err := s.parse()
+			return setup.Config, err
+		}}
+}
+
 // newScripted returns a gateway that is not started yet.
 func newScripted(t *testing.T) *scripted {
 	s := &scripted{t: t, caches: listen(t), channel: listen(t), commands: make(chan command, 99),
@@ -184,7 +192,7 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	s.stop = stop
-	go func() { s.ended <- Serve(ctx, setup, Reloads{Signals: s.hup, Load: s.parse}, discardLogger()) }()
+	go func() { s.ended <- Serve(ctx, setup, s.reloads(), discardLogger()) }()
 	until(s.t, "ready", func() bool { return s.health() == 200 })
 }
 
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -129,8 +129,7 @@
 	serviceCtx, stopServices := context.WithCancel(context.Background())
 	defer stopServices()
 	g.Go(func() error { follower.Run(serviceCtx); return nil })
-	reload := &reloader{Reloads: reloads, running: c, follower: follower, log: log, linkDriver: driver,
-		quorum: s.Operator.Quorum, jobs: s.Operator.Jobs, machines: s.Operator.Machines, purges: s.Operator.Purges}
+	reload := &reloader{Reloads: reloads, running: c, start: s.Operator, channel: c.Channel, follower: follower, log: log, linkDriver: driver}
 	reload.operator.Store(s.Operator)
 	g.Go(func() error { reload.run(serviceCtx); return nil })
 	g.Go(func() error { return server.Serve(serviceCtx, listener) })
--- a/internal/gateway/serve_test.go
+++ b/internal/gateway/serve_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"os"
@@ -12,9 +13,13 @@
 	"testing"
 	"time"
 
+	"github.com/sirupsen/logrus"
+	logtest "github.com/sirupsen/logrus/hooks/test"
+
 	"poppymill/internal/assert"
 	"poppymill/internal/clients"
 	"poppymill/internal/gatewayconfig"
+	"poppymill/internal/operator"
 	"poppymill/internal/rehearsal/script"
 	"poppymill/internal/rehearsal/sockets"
 	"poppymill/internal/rehearsal/world"
@@ -61,18 +66,20 @@
 
 // testGateway is a complete gateway over loopback, in this process, with emulated caches behind it.
 type testGateway struct {
-	t           *testing.T
-	world       *sockets.Stage
-	mu          sync.Mutex
-	pullsByBox  map[string]int
-	pullsByType map[string]int
-	address     string
-	stop        context.CancelFunc
-	hup         chan os.Signal
-	load        func() (*gatewayconfig.Config, error) // called by the gateway on a reload
-	ended       chan error
-	stopWorld   func()
-	requests    int // sent so far
+	t            *testing.T
+	world        *sockets.Stage
+	mu           sync.Mutex
+	pullsByBox   map[string]int
+	pullsByType  map[string]int
+	address      string
+	stop         context.CancelFunc
+	hup          chan os.Signal
+	load         func() (*gatewayconfig.Config, error) // called by the gateway on a reload, like loadSettings
+	loadSettings func() (*Settings, error)
+	logged       *logtest.Hook
+	ended        chan error
+	stopWorld    func()
+	requests     int // sent so far
 }
 
 func newTestGateway(t *testing.T) *testGateway { return newTestGatewayWith(t, &Settings{}) }
@@ -80,7 +87,9 @@
 // newTestGatewayWith starts a gateway with the operator's settings and waits until it is ready.
 func newTestGatewayWith(t *testing.T, settings *Settings) *testGateway {
 	s := &testGateway{t: t, pullsByBox: map[string]int{}, pullsByType: map[string]int{}, ended: make(chan error, 1),
-		hup: make(chan os.Signal, 1)}
+		hup: make(chan os.Signal, 1), loadSettings: func() (*Settings, error) { return settings, nil }}
+	log := discardLogger().(*logrus.Logger)
+	s.logged = logtest.NewLocal(log)
 	must := func(err error) {
 		if t.Helper(); err != nil {
 			t.Fatal(err)
@@ -117,10 +126,9 @@
 	ctx, stop := context.WithCancel(context.Background())
 	s.stop = stop
 	go func() {
-		s.ended <- Serve(ctx, Setup{Config: c, Operator: settings}, Reloads{Signals: s.hup, Load: func() (Setup, error) {
-			c, err := s.load()
-			return Setup{Config: c, Operator: settings}, err
-		}}, discardLogger())
+		s.ended <- Serve(ctx, Setup{Config: c, Operator: settings}, Reloads{Signals: s.hup,
+			LoadConfig:   func() (*gatewayconfig.Config, error) { return s.load() },
+			LoadOperator: func() (*Settings, error) { return s.loadSettings() }}, log)
 	}()
 	for i := 0; ; i++ {
 		if r, err := clients.Do(ctx, s.address, map[string]string{"SCRIPT_NAME": healthPath}, nil); err == nil &&
@@ -343,3 +351,61 @@
 	}
 	s.stopWorld()
 }
+
+// Guards against one source of settings that is refused, or needs a restart, holding back the others: drains and purges
+// come by the command channel that the configuration names.
+func TestReloadTakesEachSourceByItself(t *testing.T) {
+	s, _, block := newLinkGateway(t)
+	previous := *block
+	unreadable, moved := previous, previous
+	unreadable.Keys, moved.Store = previous.Keys+".missing", previous.Store+".new"
+	config := s.load
+	refusedConfig := func() (*gatewayconfig.Config, error) { return gatewayconfig.Parse([]byte("{"), os.Getenv) }
+	for _, c := range []struct {
+		name     string
+		load     func() (*gatewayconfig.Config, error)
+		settings func() (*Settings, error)
+		want     string // of the line "reloaded"
+	}{
+		{"links go off", config, func() (*Settings, error) { return &Settings{}, nil }, "applied configuration operator, refused <nil>, until a restart links"},
+		{"another store", config, func() (*Settings, error) { return &Settings{Links: moved}, nil }, "applied configuration operator, refused <nil>, until a restart links"},
+		{"keys cannot be read", config, func() (*Settings, error) {
+			return &Settings{Links: unreadable, Fair: Fairness{On: true}}, nil
+		}, "applied configuration operator, refused links.keys, until a restart fair"},
+		{"operator's file refused", config, func() (*Settings, error) { return nil, errors.New("site.hcl:2: log.level") },
+			"applied configuration, refused operator, until a restart <nil>"},
+		{"configuration refused", refusedConfig, func() (*Settings, error) {
+			return &Settings{Links: previous, Log: operator.Log{CountersEvery: 1000}}, nil
+		}, "applied operator, refused configuration, until a restart <nil>"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			if err := s.world.MoveChannel(0); err != nil {
+				t.Fatal(err)
+			}
+			s.load, s.loadSettings = c.load, c.settings
+			s.logged.Reset()
+			s.hup <- syscall.SIGHUP
+			var line *logrus.Entry
+			until(t, "reloaded", func() bool {
+				for _, e := range s.logged.AllEntries() {
+					if e.Message == "reloaded" {
+						line = e
+					}
+				}
+				return line != nil
+			})
+			got := fmt.Sprintf("applied %v, refused %v, until a restart %v", line.Data["applied"], line.Data["refused"], line.Data["until a restart"])
+			if got != c.want {
+				t.Errorf("%s, want %s", got, c.want)
+			}
+			if newest, err := c.load(); err == nil && line.Data["channel"] != newest.Channel {
+				t.Errorf("the channel is %v, want %s", line.Data["channel"], newest.Channel)
+			}
+		})
+	}
+	s.stop()
+	if err := <-s.ended; err != nil {
+		t.Error(err)
+	}
+	s.stopWorld()
+}
