Clients: what is held of requests counts in the memory budget, heads included

Cause: heads were collected in memory that no budget counts, every HTTP_X_ field was kept in a map, and uploads shared one pool of buffers with the answers of caches.

Change: heads are received in buffers of the pool; requests may take half of it; the requests that take longest make room for others; a small head always fits; only fields that the gateway reads are kept; complete requests are bounded; a connection with more to read yields after each 16 kB. Server.Bodies is Requests now, as it holds heads too.

TestFeed names the params of its examples, as the parser keeps no other HTTP_X_ field now.

--- a/internal/buffer/buffer.go
+++ b/internal/buffer/buffer.go
@@ -14,16 +14,23 @@
 // Pool lends out a limited number of buffers and reuses returned ones. The limit keeps bodies within the memory limit:
 // if the pool is exhausted, a peer loses its connection instead of the process running out of memory.
 type Pool struct {
-	mu    sync.Mutex
-	free  [][]byte
-	lent  int
-	peak  int // maximum of lent since the last Trim
-	limit int // of lent
+	parent *Pool // where the buffers come from and go back to; nil: the pool keeps them itself
+	mu     sync.Mutex
+	free   [][]byte
+	lent   int
+	peak   int // maximum of lent since the last Trim
+	limit  int // of lent
 }
 
 // NewPool returns a pool of buffers with at most the given total of bytes, but of at least one buffer.
 func NewPool(bytes int) *Pool { return &Pool{limit: max(1, bytes/Size)} }
 
+// Share returns a pool that lends out buffers of this pool, at most the given total of bytes at a time.
+func (p *Pool) Share(bytes int) *Pool { return &Pool{parent: p, limit: max(1, bytes/Size)} }
+
+// Limit returns how many buffers may be in use.
+func (p *Pool) Limit() int { return p.limit }
+
 // Get returns an empty buffer, or nil if the pool is exhausted.
 func (p *Pool) Get() []byte {
 	p.mu.Lock()
@@ -31,6 +38,13 @@
 	if p.lent == p.limit {
 		return nil
 	}
+	if p.parent != nil {
+		b := p.parent.Get()
+		if b != nil {
+			p.lent++
+		}
+		return b
+	}
 	p.lent++
 	p.peak = max(p.peak, p.lent)
 	if n := len(p.free); n > 0 {
@@ -48,6 +62,10 @@
 	defer p.mu.Unlock()
 	p.lent--
 	assert.That(p.lent >= 0, "no buffer is returned twice")
+	if p.parent != nil {
+		p.parent.Put(b)
+		return
+	}
 	p.free = append(p.free, b[:0])
 }
 
--- a/internal/clients/close_test.go
+++ b/internal/clients/close_test.go
@@ -84,7 +84,7 @@
 
 func newTestServerOn(t *testing.T, maxConns int, listener net.Listener) *testServer {
 	s := &testServer{t: t, handler: recordingHandler{make(chan func(Answer), 99), make(chan *Conn, 99), make(chan error, 99)}, done: make(chan error, 1)}
-	s.Server = &Server{Bodies: buffer.NewPool(1 << 22), ReadBuffers: buffer.NewPool(1 << 20), Handler: s.handler, MaxConns: maxConns,
+	s.Server = &Server{Requests: buffer.NewPool(1 << 22), ReadBuffers: buffer.NewPool(1 << 20), Handler: s.handler, MaxConns: maxConns,
 		Now: func() float64 { return float64(s.now.Load()) }}
 	go func() { s.done <- s.Serve(context.Background(), listener) }()
 	return s
@@ -146,8 +146,8 @@
 // checkReleased waits for the end of the server and checks that it has released all buffers and connections.
 func (s *testServer) checkReleased() {
 	s.t.Helper()
-	if err := <-s.done; err != nil || s.Bodies.InUse() != 0 || s.ReadBuffers.InUse() != 0 || s.OpenConns() != 0 {
-		s.t.Errorf("not released: %d and %d buffers, %d connections, %v", s.Bodies.InUse(), s.ReadBuffers.InUse(), s.OpenConns(), err)
+	if err := <-s.done; err != nil || s.Requests.InUse() != 0 || s.ReadBuffers.InUse() != 0 || s.OpenConns() != 0 {
+		s.t.Errorf("not released: %d and %d buffers, %d connections, %v", s.Requests.InUse(), s.ReadBuffers.InUse(), s.OpenConns(), err)
 	}
 }
 
@@ -217,14 +217,14 @@
 	reply := <-s.handler.requests
 	release := <-s.listener.held
 	client.Write([]byte(beginRequest(3, 1)))
-	body := buffer.NewChain(s.Bodies)
+	body := buffer.NewChain(s.Requests)
 	body.Append(make([]byte, 200_000))
 	// With this buffer the kernel takes the whole response at once, before the client has received it.
 	s.updateConns(func(c *Conn) { c.nc.(*gatedConn).SetWriteBuffer(1 << 20) }, func() {})
 	s.Drain()
 	s.DrainAndDiscard()
 	reply(Answer{Status: 200, Body: body})
-	for s.Bodies.InUse() > 0 { // until the response is written
+	for s.Requests.InUse() > 0 { // until the response is written
 		time.Sleep(time.Millisecond)
 	}
 	if n := s.readResponse(client); n < 200_000 {
--- a/internal/clients/conn.go
+++ b/internal/clients/conn.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net"
+	"runtime"
 	"slices"
 	"sync"
 	"time"
@@ -63,16 +64,30 @@
 		c.endInput()
 		return 0, true
 	case late:
-		replies := c.parser.RefuseUnfinished(now - limit)
-		for _, reply := range replies {
-			c.queue = append(c.queue, queuedAnswer{reply: reply})
-		}
-		c.wakeWriter()
-		return len(replies), false
+		return c.refuseLocked(now - limit), false
 	}
 	return 0, false
 }
 
+// refuseUnfinished refuses the requests received in part that began before a time, and returns how many there were.
+func (c *Conn) refuseUnfinished(before float64) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.refuseLocked(before)
+}
+
+// refuseLocked is refuseUnfinished with the lock held.
+func (c *Conn) refuseLocked(before float64) int {
+	replies := c.parser.RefuseUnfinished(before)
+	for _, reply := range replies {
+		c.queue = append(c.queue, queuedAnswer{reply: reply})
+	}
+	if len(replies) > 0 {
+		c.wakeWriter()
+	}
+	return len(replies)
+}
+
 // idleTooLong reports whether the last request was so long ago that no other is to be expected. A client that has sent a usable
 // request is not idle while it sends another.
 func (c *Conn) idleTooLong(now float64, unfinished bool) bool {
@@ -143,6 +158,7 @@
 	for {
 		n, err := c.nc.Read(b)
 		at := c.server.Now()
+		c.server.freeRequestMemory(at)
 		c.mu.Lock()
 		if c.discarding {
 			c.mu.Unlock()
@@ -187,6 +203,9 @@
 		if err != nil {
 			return
 		}
+		if n == len(b) {
+			runtime.Gosched() // more is waiting: without it a client that sends at full speed delays all others
+		}
 	}
 }
 
--- a/internal/clients/fastcgi.go
+++ b/internal/clients/fastcgi.go
@@ -9,7 +9,7 @@
 	"fmt"
 	"slices"
 	"strconv"
-	"strings"
+	"sync/atomic"
 
 	"poppymill/internal/buffer"
 )
@@ -36,11 +36,19 @@
 // Limits on what one connection can make a gateway hold, in requests and bytes. A write has a body of maxBody at most.
 const (
 	maxOpenRequests  = 32
-	maxParams        = 16 << 10
+	maxParams        = buffer.Size // received in one buffer
+	maxParamValue    = 256         // of a param that the gateway always needs; longer ones are invalid and kept cut
+	reserveBytes     = 2 << 10     // of the reserve of one connection
+	maxSmallParams   = 2 << 10     // params kept for a request beyond which its buffer counts until it is answered
 	maxBody          = 48_000
 	maxControlRecord = 4 << 10
 )
 
+// neededParams are the params that a gateway always needs. Web servers send many more, and each that is kept uses memory for as
+// long as the request is open.
+var neededParams = []string{"SCRIPT_NAME", "CONTENT_LENGTH", "HTTP_X_JOB_ID", "HTTP_X_ALLOW_MS", "HTTP_X_ITEM", "HTTP_X_N", "HTTP_X_SHARD",
+	"HTTP_X_MINE", "HTTP_X_UNIQUE"}
+
 // EventKind is the kind of an Event.
 type EventKind int
 
@@ -63,8 +71,9 @@
 
 // Parser decodes the records of one connection and tracks its open requests.
 type Parser struct {
-	ExtraParams []string // params to keep beside those that the gateway always needs
-	pool        *buffer.Pool
+	ExtraParams []string      // params to keep beside those that the gateway always needs
+	pool        *buffer.Pool  // for params and bodies
+	unanswered  *requestCount // of all connections; nil: unbounded
 	maxConns    int
 	header      [headerLen]byte
 	headerRead  int // bytes of the header received
@@ -73,19 +82,63 @@
 	control     []byte  // content of a BEGIN_REQUEST or GET_VALUES record
 	recordStart float64 // when the current record began
 	open        map[uint16]*incomingRequest
+	reserve     []byte // for the params of one request while the pool has no buffer left; allocated when it is needed
+	reserveUsed bool
+}
+
+// requestCount bounds the complete requests of all connections that wait for their answers.
+type requestCount struct {
+	count   atomic.Int64
+	maximum int64
+}
+
+// take counts one request; false if the bound is reached.
+func (c *requestCount) take() bool {
+	if c == nil {
+		return true
+	}
+	if c.count.Add(1) > c.maximum {
+		c.count.Add(-1)
+		return false
+	}
+	return true
+}
+
+// put takes one request out of the count.
+func (c *requestCount) put() {
+	if c != nil {
+		c.count.Add(-1)
+	}
 }
 
 type incomingRequest struct {
-	params     []byte
+	params     []byte // a buffer of the pool, or the reserve; nil: none
+	reserved   bool   // params is the reserve
+	paramsSize int
 	paramsDone bool
 	complete   bool
 	closeAfter bool // the connection closes after the response
-	noBuffer   bool // the pool had no buffer left for the body
+	noBuffer   bool // the pool had no buffer left for the request, which is refused once it is complete
 	body       *buffer.Body
 	bodySize   int
 	start      float64
 }
 
+// holdsBuffers reports whether the request holds buffers of the pool.
+func (r *incomingRequest) holdsBuffers() bool { return r.params != nil && !r.reserved || r.body != nil }
+
+// discard returns the buffers of a request.
+func (p *Parser) discard(r *incomingRequest) {
+	switch {
+	case r.reserved:
+		p.reserveUsed = false
+	case r.params != nil:
+		p.pool.Put(r.params)
+	}
+	r.body.Release()
+	r.params, r.body, r.reserved = nil, nil, false
+}
+
 // NewParser returns a parser for a new connection of a server that takes at most maxConns connections.
 func NewParser(pool *buffer.Pool, maxConns int) *Parser {
 	return &Parser{pool: pool, maxConns: maxConns, open: map[uint16]*incomingRequest{}}
@@ -146,20 +199,18 @@
 		if r == nil || r.paramsDone {
 			return nil
 		}
-		if r.params = append(r.params, data...); len(r.params) > maxParams {
+		if r.paramsSize += len(data); r.paramsSize > maxParams {
 			return errors.New("params too long")
 		}
+		p.appendParams(r, data)
 	case typeStdin:
 		if r == nil || r.complete {
 			return nil
 		}
-		if r.body == nil {
-			r.body = buffer.NewChain(p.pool)
-		}
 		if r.bodySize += len(data); r.bodySize > maxBody {
 			return errors.New("body too long")
 		}
-		r.noBuffer = !r.body.Append(data) || r.noBuffer
+		p.appendBody(r, data)
 	case typeBeginRequest, typeGetValues:
 		if p.control = append(p.control, data...); len(p.control) > maxControlRecord {
 			return errors.New("record too long")
@@ -168,6 +219,61 @@
 	return nil
 }
 
+func (p *Parser) appendParams(r *incomingRequest, data []byte) {
+	if r.noBuffer {
+		return
+	}
+	if r.params == nil {
+		r.params = p.paramsBuffer(r)
+	}
+	if len(r.params)+len(data) > cap(r.params) {
+		p.refuseForMemory(r)
+		return
+	}
+	r.params = append(r.params, data...)
+}
+
+// paramsBuffer returns an empty buffer for a request's params, or nil. While others use up the pool, each connection can
+// still receive one small request.
+func (p *Parser) paramsBuffer(r *incomingRequest) []byte {
+	if b := p.pool.Get(); b != nil || p.reserveUsed {
+		return b
+	}
+	if p.reserve == nil {
+		p.reserve = make([]byte, 0, reserveBytes)
+	}
+	r.reserved, p.reserveUsed = true, true
+	return p.reserve
+}
+
+func (p *Parser) appendBody(r *incomingRequest, data []byte) {
+	if r.noBuffer {
+		return
+	}
+	if r.body == nil {
+		r.body = buffer.NewChain(p.pool)
+	}
+	if !r.body.Append(data) {
+		p.refuseForMemory(r)
+	}
+}
+
+// refuseForMemory frees what is held of a request for which the pool had no buffer.
+func (p *Parser) refuseForMemory(r *incomingRequest) {
+	r.noBuffer = true
+	p.discard(r)
+}
+
+// appendHolders appends when each request received in part began that holds buffers.
+func (p *Parser) appendHolders(starts []float64) []float64 {
+	for _, r := range p.open {
+		if !r.complete && r.holdsBuffers() {
+			starts = append(starts, r.start)
+		}
+	}
+	return starts
+}
+
 // Unfinished reports whether a record or a request has been received in part, and since when the oldest has been incomplete.
 func (p *Parser) Unfinished() (since float64, unfinished bool) {
 	since, unfinished = p.recordStart, p.headerRead > 0
@@ -186,7 +292,7 @@
 		if r.complete || r.start >= before {
 			continue
 		}
-		r.body.Release()
+		p.discard(r)
 		delete(p.open, id)
 		replies = append(replies, appendEndRequest(nil, id, statusOverloaded))
 	}
@@ -234,7 +340,7 @@
 		if r.complete {
 			return append(events, Event{Kind: Aborted, ID: id}), nil
 		}
-		r.body.Release()
+		p.discard(r)
 		delete(p.open, id)
 		return append(events, Event{Kind: Reply, Reply: appendEndRequest(nil, id, statusRequestComplete)}), nil
 	case typeParams:
@@ -248,17 +354,24 @@
 		if !r.paramsDone {
 			return events, fmt.Errorf("request %d ends before its params", id)
 		}
-		params, err := decodeParams(r.params, false, p.ExtraParams)
+		if r.noBuffer {
+			delete(p.open, id)
+			return append(events, Event{Kind: Reply, Reply: appendEndRequest(nil, id, statusOverloaded)}), nil
+		}
+		params, size, err := p.requestParams(r.params)
 		if err != nil {
 			return events, err
 		}
-		body := r.body
-		r.complete, r.params, r.body = true, nil, nil
-		if r.noBuffer {
-			body.Release()
+		if !p.unanswered.take() {
+			p.discard(r)
 			delete(p.open, id)
 			return append(events, Event{Kind: Reply, Reply: appendEndRequest(nil, id, statusOverloaded)}), nil
 		}
+		body := r.body
+		r.complete, r.body = true, nil
+		if size <= maxSmallParams {
+			p.discard(r)
+		}
 		return append(events, Event{Kind: Complete, ID: id, Params: params, Body: body}), nil
 	}
 	return events, nil
@@ -272,21 +385,40 @@
 		return false, false
 	}
 	delete(p.open, id)
+	p.discard(r)
+	p.unanswered.put()
 	return true, r.closeAfter
 }
 
-// Release releases the bodies of requests that have been received in part.
+// Release ends all open requests and releases their buffers.
 func (p *Parser) Release() {
 	for _, r := range p.open {
-		r.body.Release()
-		r.body = nil
+		p.discard(r)
+		if r.complete {
+			p.unanswered.put()
+		}
 	}
+	clear(p.open)
 }
 
-// decodeParams decodes name-value pairs. Unless all is set, it keeps only those that a gateway may need: web servers send
-// many more, and each would use memory for as long as the download lasts.
-func decodeParams(data []byte, all bool, extra []string) (map[string]string, error) {
-	params := make(map[string]string, 8)
+// requestParams decodes the params that the gateway needs, and returns their size in bytes.
+func (p *Parser) requestParams(data []byte) (params map[string]string, size int, err error) {
+	params = make(map[string]string, len(neededParams))
+	err = eachParam(data, func(name, value []byte) {
+		if i := slices.Index(neededParams, string(name)); i >= 0 {
+			params[neededParams[i]] = string(value[:min(len(value), maxParamValue)])
+		} else if i := slices.Index(p.ExtraParams, string(name)); i >= 0 {
+			params[p.ExtraParams[i]] = string(value)
+		}
+	})
+	for _, value := range params {
+		size += len(value)
+	}
+	return params, size, err
+}
+
+// eachParam decodes name-value pairs.
+func eachParam(data []byte, visit func(name, value []byte)) error {
 	decodeLength := func() int {
 		if len(data) > 0 && data[0] < 0x80 {
 			n := int(data[0])
@@ -303,27 +435,24 @@
 	for len(data) > 0 {
 		name, value := decodeLength(), decodeLength()
 		if name < 0 || value < 0 || name+value > len(data) {
-			return nil, errors.New("a param extends past the end of its data")
-		}
-		if all || string(data[:name]) == "SCRIPT_NAME" || string(data[:name]) == "CONTENT_LENGTH" || strings.HasPrefix(string(data[:name]), "HTTP_X_") ||
-			slices.Contains(extra, string(data[:name])) {
-			params[string(data[:name])] = string(data[name : name+value])
+			return errors.New("a param extends past the end of its data")
 		}
+		visit(data[:name], data[name:name+value])
 		data = data[name+value:]
 	}
-	return params, nil
+	return nil
 }
 
 // getValuesResult encodes the reply to GET_VALUES, with which a web server may ask for limits before it opens more connections.
 func (p *Parser) getValuesResult() ([]byte, error) {
-	names, err := decodeParams(p.control, true, nil)
-	if err != nil {
+	names := map[string]bool{}
+	if err := eachParam(p.control, func(name, _ []byte) { names[string(name)] = true }); err != nil {
 		return nil, err
 	}
 	var result []byte
 	for _, known := range [][2]string{{"FCGI_MAX_CONNS", strconv.Itoa(p.maxConns)},
 		{"FCGI_MAX_REQS", strconv.Itoa(p.maxConns * maxOpenRequests)}, {"FCGI_MPXS_CONNS", "1"}} {
-		if _, ok := names[known[0]]; ok {
+		if names[known[0]] {
 			result = append(result, byte(len(known[0])), byte(len(known[1])))
 			result = append(append(result, known[0]...), known[1]...)
 		}
--- a/internal/clients/fastcgi_test.go
+++ b/internal/clients/fastcgi_test.go
@@ -106,6 +106,7 @@
 func feed(t *testing.T, in string, size int) (string, string) {
 	pool := buffer.NewPool(2 * buffer.Size)
 	p := NewParser(pool, 7)
+	p.ExtraParams = []string{"HTTP_X_A", "HTTP_X_B"}
 	var out []string
 	var err error
 	for b := []byte(in); len(b) > 0 && err == nil; b = b[min(size, len(b)):] {
--- a/internal/clients/serve.go
+++ b/internal/clients/serve.go
@@ -1,10 +1,13 @@
 package clients
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"math"
 	"net"
 	"runtime"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -29,15 +32,18 @@
 
 // Server accepts and serves FastCGI connections.
 type Server struct {
-	Bodies      *buffer.Pool // for request bodies
+	Requests    *buffer.Pool // for requests received in part, and for the bodies of open ones
 	ReadBuffers *buffer.Pool // read buffers, one per connection
 	Handler     Handler
 	Now         func() float64
 	ExtraParams []string     // params to pass on beside those that the gateway always needs
 	MaxConns    int          // maximum number of open connections
+	MaxRequests int          // maximum number of complete requests that wait for their answers; 0: as many as the connections carry
 	ClosedEarly atomic.Int64 // connections closed as too slow or idle, or to make room
 	RefusedSlow atomic.Int64 // requests refused because they were received too slowly, beside others on their connection
+	RefusedFull atomic.Int64 // requests received in part that were refused to free memory for others
 	open        atomic.Int64
+	unanswered  requestCount
 	mu          sync.Mutex
 	conns       map[*Conn]bool
 	draining    bool // new connections close after their first response
@@ -58,6 +64,7 @@
 func (s *Server) Serve(ctx context.Context, l net.Listener) error {
 	s.mu.Lock() // Drain or DrainAndDiscard may have been called before
 	s.conns = map[*Conn]bool{}
+	s.unanswered.maximum = int64(cmp.Or(s.MaxRequests, s.MaxConns*maxOpenRequests))
 	s.mu.Unlock()
 	var g errgroup.Group
 	stopSweep, sweepDone := make(chan struct{}), make(chan struct{})
@@ -92,8 +99,8 @@
 		}
 		s.open.Add(1)
 		now := s.Now()
-		c := &Conn{server: s, nc: nc, parser: NewParser(s.Bodies, s.MaxConns), wake: make(chan struct{}, 1), lastActive: now}
-		c.parser.ExtraParams = s.ExtraParams
+		c := &Conn{server: s, nc: nc, parser: NewParser(s.Requests, s.MaxConns), wake: make(chan struct{}, 1), lastActive: now}
+		c.parser.ExtraParams, c.parser.unanswered = s.ExtraParams, &s.unanswered
 		s.mu.Lock()
 		s.conns[c] = true
 		c.draining = s.draining
@@ -173,6 +180,40 @@
 	}
 }
 
+// Requests received in part hold their buffers until they are complete, so clients that stop half way could take them all.
+// Above highUse of the pool, the requests that have taken longest are refused until its use is down to lowUse. A request
+// that began less than minReceiveTime ago is never refused for another one.
+const (
+	highUse        = 0.75
+	lowUse         = 0.5
+	minReceiveTime = 100.0 // ms
+)
+
+// freeRequestMemory refuses requests received in part if they use up the memory for them. They never ran.
+func (s *Server) freeRequestMemory(now float64) {
+	limit := float64(s.Requests.Limit())
+	if float64(s.Requests.InUse()) < highUse*limit {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var starts []float64
+	for c := range s.conns {
+		c.mu.Lock()
+		starts = c.parser.appendHolders(starts)
+		c.mu.Unlock()
+	}
+	slices.Sort(starts)
+	excess := int(math.Ceil(float64(s.Requests.InUse()) - lowUse*limit)) // each holds a buffer at least
+	if excess <= 0 || len(starts) == 0 {
+		return
+	}
+	before := min(now-minReceiveTime, math.Nextafter(starts[min(excess, len(starts))-1], now))
+	for c := range s.conns {
+		s.RefusedFull.Add(int64(c.refuseUnfinished(before)))
+	}
+}
+
 // Drain closes each connection once it has no open requests and its responses are written.
 func (s *Server) Drain() {
 	s.updateConns(func(c *Conn) { c.draining = true }, func() { s.draining = true })
--- a/internal/clients/serve_test.go
+++ b/internal/clients/serve_test.go
@@ -54,7 +54,7 @@
 	s := newTestServerOn(t, 3, l)
 	h := s.handler
 	answer := func(respond func(Answer)) {
-		body := buffer.NewChain(s.Bodies)
+		body := buffer.NewChain(s.Requests)
 		body.Append(make([]byte, 100_000))
 		respond(Answer{Status: 200, Body: body})
 	}
--- a/internal/gateway/budget.go
+++ b/internal/gateway/budget.go
@@ -10,6 +10,7 @@
 type Budget struct {
 	Clients, Caches int // numbers of connections
 	Reads, Bodies   int // bytes of buffers for reading and for bodies
+	Requests        int // the part of Bodies that requests from clients may take; the rest is for answers
 	Open            int // downloads not answered yet
 	Heap            int // soft memory limit of the garbage collector, in bytes
 }
@@ -25,12 +26,12 @@
 
 // NewBudget computes the budget. Clients hold at most a third of the descriptors; two fifths are allowed, as connections
 // that they have just closed still count here. A third of the memory is for connections, an eighth for open downloads
-// and a quarter for bodies; the rest is for the router's tables and garbage that is not collected yet.
+// and a quarter for bodies, half of which requests from clients may take; the rest is for the router's tables and garbage that is not collected yet.
 func NewBudget(c *gatewayconfig.Config) Budget {
 	memory := c.MemoryMB<<20 - reservedMemory
 	conns := max(2*minConnsPerSide, min(c.Sockets-reservedDescriptors, memory/3/(buffer.Size+memoryPerConn)))
 	clients := max(minConnsPerSide, conns*2/5)
-	return Budget{Clients: clients, Caches: conns - clients, Reads: conns * buffer.Size, Bodies: memory / 4,
+	return Budget{Clients: clients, Caches: conns - clients, Reads: conns * buffer.Size, Bodies: memory / 4, Requests: memory / 8,
 		Open: min(c.MaxOpen, memory/8/memoryPerDownload), Heap: memory - memory/8}
 }
 
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -118,7 +118,8 @@
 		listener.Close()
 		return err
 	}
-	server := &clients.Server{Bodies: buffers, ReadBuffers: reads, Handler: p, Now: clock.now, MaxConns: budget.Clients,
+	server := &clients.Server{Requests: buffers.Share(budget.Requests), ReadBuffers: reads, Handler: p, Now: clock.now, MaxConns: budget.Clients,
+		MaxRequests: budget.Open + inboxCapacity, // the core turns away what is beyond budget.Open, and tells when to retry
 		ExtraParams: append(s.Operator.Links.Params(), s.Operator.Fair.Params()...)}
 	channelWarnings := &warnLimiter{log: log}
 	follower := &channel.Follower{Address: c.Channel, Cursor: c.Cursor,
@@ -277,7 +278,7 @@
 		"conns": p.Conns(), "dialled": p.Dialed, "malformed": p.Malformed, "short": p.Exhausted, "late": p.LateReplies, "mute": p.Stalled,
 		"old":     p.TooOld,
 		"buffers": l.buffers.InUse(), "broken": assert.Broken(),
-		"shed": l.server.ClosedEarly.Load(), "slow": l.server.RefusedSlow.Load(),
+		"shed": l.server.ClosedEarly.Load(), "slow": l.server.RefusedSlow.Load(), "full": l.server.RefusedFull.Load(),
 		"reloads": l.reload.applied.Load(), "misread": l.reload.failed.Load(), "passed": l.reload.follower.Skipped.Load(), "calls": l.reload.follower.Calls.Load(),
 	}).Info("counters")
 }
