Clients: requests of a closed connection are not sent on

Cause: the end of a connection was noticed only behind all that had come before it.

Change: the socket is asked whether the other side has closed, before what was read is passed on and when the core takes a request; the rest is dropped, counter `departed`.

Evidence: TestUnreadRequestsOfClosedConnectionAreDropped without the question: 4 requests were sent on after a close, 4 after a reset; none now.

--- a/internal/clients/close_test.go
+++ b/internal/clients/close_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net"
+	"runtime"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -399,3 +400,71 @@
 	}, func() {})
 	return unfinished
 }
+
+// blockingHandler hands each request to the test, which decides when the reading goroutine goes on.
+type blockingHandler struct {
+	recordingHandler
+	arrived, proceed chan bool
+}
+
+func (h blockingHandler) HandleRequest(c *Conn, id uint16, _ map[string]string, body *buffer.Body, _ float64) {
+	body.Release()
+	h.arrived <- true
+	<-h.proceed
+}
+
+// Guards against requests being sent on that were still unread when their client closed its connection.
+func TestUnreadRequestsOfClosedConnectionAreDropped(t *testing.T) {
+	for name, end := range map[string]func(c *net.TCPConn){
+		"close": func(c *net.TCPConn) { c.Close() },
+		"reset": func(c *net.TCPConn) { c.SetLinger(0); c.Close() },
+	} {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		h := blockingHandler{recordingHandler{make(chan func(Answer), 99), make(chan *Conn, 99), make(chan error, 99)}, make(chan bool), make(chan bool)}
+		s := &Server{Requests: buffer.NewPool(1 << 22), ReadBuffers: buffer.NewPool(1 << 20), Handler: h, MaxConns: 9, Now: func() float64 { return 0 }}
+		done := make(chan error, 1)
+		go func() { done <- s.Serve(context.Background(), listener) }()
+		nc, err := net.Dial("tcp", listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		var all []byte
+		for id := 1; id <= 5; id++ { // each takes most of one read, all fit the socket's buffer
+			all = append(all, beginRequest(id, 1)+encodeRecord(4, id, "")+encodeRecord(5, id, strings.Repeat("b", 12_000))+encodeRecord(5, id, "")...)
+		}
+		nc.Write(all)
+		<-h.arrived
+		var conn *Conn
+		s.mu.Lock()
+		for conn = range s.conns {
+		}
+		s.mu.Unlock()
+		end(nc.(*net.TCPConn))
+		for deadline := time.Now().Add(20 * time.Second); !conn.Gone(); runtime.Gosched() { // until the end has come to this side
+			if time.Now().After(deadline) {
+				t.Fatalf("%s: the end is not noticed", name)
+			}
+		}
+		later := 0
+		close(h.proceed)
+	waiting:
+		for {
+			select {
+			case <-h.arrived:
+				later++
+			case <-h.closed:
+				break waiting
+			}
+		}
+		if later > 0 {
+			t.Errorf("%s: %d requests were sent on after the end", name, later)
+		}
+		listener.Close()
+		if err := <-done; err != nil || s.Requests.InUse() != 0 {
+			t.Errorf("%s: %v, %d buffers left", name, err, s.Requests.InUse())
+		}
+	}
+}
--- a/internal/clients/conn.go
+++ b/internal/clients/conn.go
@@ -6,6 +6,7 @@
 	"runtime"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -17,6 +18,7 @@
 type Conn struct {
 	server     *Server
 	nc         net.Conn
+	socket     syscall.RawConn // nil if nc is no socket
 	mu         sync.Mutex
 	parser     *Parser
 	queue      []queuedAnswer // at most one response per open request, and protocol-level replies
@@ -37,6 +39,24 @@
 	Answer
 }
 
+func newConn(s *Server, nc net.Conn, now float64) *Conn {
+	c := &Conn{server: s, nc: nc, parser: NewParser(s.Requests, s.MaxConns), wake: make(chan struct{}, 1), lastActive: now}
+	c.parser.ExtraParams, c.parser.unanswered = s.ExtraParams, &s.unanswered
+	if socket, ok := nc.(syscall.Conn); ok {
+		c.socket, _ = socket.SyscallConn()
+	}
+	return c
+}
+
+// Gone reports whether the client has closed the connection, also while requests that it sent before are still unread.
+func (c *Conn) Gone() (gone bool) {
+	if c.socket == nil {
+		return false
+	}
+	closed := c.socket.Control(func(descriptor uintptr) { gone = hungUp(descriptor) })
+	return gone || closed != nil
+}
+
 // idle reports whether the connection has no complete request open and nothing to write.
 func (c *Conn) idle() bool { return c.parser.Unanswered() == 0 && len(c.queue) == 0 && !c.writing }
 
@@ -158,6 +178,9 @@
 	for {
 		n, err := c.nc.Read(b)
 		at := c.server.Now()
+		if n > 0 && c.Gone() {
+			return // what is still unread is not sent on: nobody waits for its answer
+		}
 		c.server.freeRequestMemory(at)
 		c.mu.Lock()
 		if c.discarding {
--- a/internal/clients/serve.go
+++ b/internal/clients/serve.go
@@ -99,8 +99,7 @@
 		}
 		s.open.Add(1)
 		now := s.Now()
-		c := &Conn{server: s, nc: nc, parser: NewParser(s.Requests, s.MaxConns), wake: make(chan struct{}, 1), lastActive: now}
-		c.parser.ExtraParams, c.parser.unanswered = s.ExtraParams, &s.unanswered
+		c := newConn(s, nc, now)
 		s.mu.Lock()
 		s.conns[c] = true
 		c.draining = s.draining
--- a/internal/gateway/bench_test.go
+++ b/internal/gateway/bench_test.go
@@ -15,6 +15,7 @@
 // discardClient discards all answers.
 type discardClient struct{}
 
+func (discardClient) Gone() bool                        { return false }
 func (discardClient) Answer(_ uint16, a clients.Answer) { a.Body.Release() }
 
 // instantWire is a connection to a node that answers as soon as the benchmark asks for it.
--- a/internal/gateway/core.go
+++ b/internal/gateway/core.go
@@ -25,6 +25,8 @@
 // Client is a connection on which requests are answered. ID is the request's id on that connection.
 type Client interface {
 	Answer(id uint16, a clients.Answer)
+	// Gone reports whether the client has closed the connection, even if ClientClosed is still to come.
+	Gone() bool
 }
 
 // Events that the network side posts to a Core. At is the time at which the event happened, in Unix ms.
@@ -58,9 +60,9 @@
 // Counters count events since the start of the gateway; the log line "counters" writes each under its own name.
 // Taken counts accepted downloads; Kept those of the Fulfilled whose client keeps the copy that it has; Left those
 // that their client aborted; Refused malformed requests; Turned requests turned away at the limit of open downloads
-// or during shutdown; Overdue downloads that the router left unanswered; Forbidden requests refused by their link.
+// or during shutdown; Departed requests whose client had closed before they were handled; Overdue downloads that the router left unanswered; Forbidden requests refused by their link.
 type Counters struct {
-	Taken, Fulfilled, Kept, Throttled, Abandoned, Left, Refused, Turned, Overdue, Pulls, Probes, Panics, Forbidden int
+	Taken, Fulfilled, Kept, Throttled, Abandoned, Left, Refused, Turned, Overdue, Pulls, Probes, Panics, Forbidden, Departed int
 }
 
 // Core is the state machine of a gateway. It is not safe for concurrent use.
@@ -435,6 +437,12 @@
 
 // handleRequest validates a request and starts its download.
 func (g *Core) handleRequest(e RequestReceived) {
+	if e.Client.Gone() {
+		g.Departed++
+		e.Body.Release()
+		e.Client.Answer(e.ID, clients.Answer{NoResponse: true})
+		return
+	}
 	path := e.Params["SCRIPT_NAME"]
 	if path == healthPath {
 		e.Body.Release()
--- a/internal/gateway/core_test.go
+++ b/internal/gateway/core_test.go
@@ -43,8 +43,11 @@
 // client records the answers that it gets.
 type client struct {
 	answers map[uint16][]clients.Answer
+	gone    bool
 }
 
+func (c *client) Gone() bool { return c.gone }
+
 func (c *client) Answer(id uint16, a clients.Answer) {
 	c.answers[id] = append(c.answers[id], a)
 	a.Body.Release()
--- a/internal/gateway/prefetch.go
+++ b/internal/gateway/prefetch.go
@@ -78,6 +78,9 @@
 	}
 }
 
+// Gone reports that a prefetch is never given up.
+func (p *prefetcher) Gone() bool { return false }
+
 // Answer counts an ended download. It must not start the next one itself, as the router is still handling an event;
 // a timer does.
 func (p *prefetcher) Answer(_ uint16, a clients.Answer) {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -273,7 +273,7 @@
 	l.log.WithFields(logrus.Fields{
 		"blind": l.core.purges.blindCount(), "taken": c.Taken, "forbidden": c.Forbidden, "fulfilled": c.Fulfilled,
 		"kept": c.Kept, "throttled": c.Throttled,
-		"abandoned": c.Abandoned, "left": c.Left, "refused": c.Refused, "turned": c.Turned, "overdue": c.Overdue,
+		"abandoned": c.Abandoned, "left": c.Left, "departed": c.Departed, "refused": c.Refused, "turned": c.Turned, "overdue": c.Overdue,
 		"panics": c.Panics, "pulls": c.Pulls, "probes": c.Probes, "open": l.core.Open(),
 		"conns": p.Conns(), "dialled": p.Dialed, "malformed": p.Malformed, "short": p.Exhausted, "late": p.LateReplies, "mute": p.Stalled,
 		"old":     p.TooOld,
--- a/internal/rehearsal/virtual/virtual.go
+++ b/internal/rehearsal/virtual/virtual.go
@@ -414,6 +414,9 @@
 	g.handle(gateway.RequestReceived{Client: c, ID: 1, Params: world.Params(r), Body: body, At: g.d.unix()})
 }
 
+// Gone reports that a client's end is always an event of its own in virtual time.
+func (c *caller) Gone() bool { return false }
+
 // Answer receives the core's answer to a client.
 func (c *caller) Answer(_ uint16, a clients.Answer) {
 	d := c.g.d
