Gateway: a write whose id comes again after it may have run is not sent

Cause: an id was known only while its download was open. DROP does not prove that a pull has not run, and neither does an answer.

Change: ids of ended writes that may have run are remembered, bounded in the budget, for five minutes, ten seconds at the least; new writes are turned away before one is forgotten too early. What a pull's status proves is told by Status.NeverRan, for router and core.

TestBudget now counts the ids as well.

--- a/internal/gateway/budget.go
+++ b/internal/gateway/budget.go
@@ -12,6 +12,7 @@
 	Reads, Bodies   int // bytes of buffers for reading and for bodies
 	Requests        int // the part of Bodies that requests from clients may take; the rest is for answers
 	Open            int // downloads not answered yet
+	EndedWrites     int // ids of ended writes that are remembered
 	Heap            int // soft memory limit of the garbage collector, in bytes
 }
 
@@ -20,8 +21,9 @@
 	reservedDescriptors = 24       // listener, command channel and descriptors about to close
 	reservedMemory      = 6 << 20  // outside the budget: the program's own pages and the runtime's tables
 	memoryPerConn       = 24 << 10 // beside its buffer: stacks, protocol state, bookkeeping
-	memoryPerDownload   = 4 << 10  // fields, notes, pulls and alarms, also those in the router
-	minConnsPerSide     = 16       // minimum for clients, and for caches
+	memoryPerEndedWrite = 64
+	memoryPerDownload   = 4 << 10 // fields, notes, pulls and alarms, also those in the router
+	minConnsPerSide     = 16      // minimum for clients, and for caches
 )
 
 // NewBudget computes the budget. Clients hold at most a third of the descriptors; two fifths are allowed, as connections
@@ -32,7 +34,7 @@
 	conns := max(2*minConnsPerSide, min(c.Sockets-reservedDescriptors, memory/3/(buffer.Size+memoryPerConn)))
 	clients := max(minConnsPerSide, conns*2/5)
 	return Budget{Clients: clients, Caches: conns - clients, Reads: conns * buffer.Size, Bodies: memory / 4, Requests: memory / 8,
-		Open: min(c.MaxOpen, memory/8/memoryPerDownload), Heap: memory - memory/8}
+		Open: min(c.MaxOpen, memory/8/memoryPerDownload), EndedWrites: memory / 64 / memoryPerEndedWrite, Heap: memory - memory/8}
 }
 
 // maxPeerConns returns how many connections the quorum of gateways may hold.
--- a/internal/gateway/core.go
+++ b/internal/gateway/core.go
@@ -92,8 +92,10 @@
 	prefetches   int                         // prefetch downloads started so far
 	maxOpen      int                         // limit of open
 	open         int                         // downloads not answered yet
-	shuttingDown bool                        // the health check fails from now on
-	stopped      bool                        // new requests are turned away
+	writes       int                         // of downloads: those that must not run twice
+	endedWrites  *endedWrites
+	shuttingDown bool // the health check fails from now on
+	stopped      bool // new requests are turned away
 }
 
 // download is an accepted download. It is kept until it is answered, once, and its last pull has ended.
@@ -111,7 +113,8 @@
 	pulls                      []*pull
 	lastPull                   *caches.Pull
 	expiryTimer                *timer
-	openPulls                  int // pulls that have not ended
+	openPulls                  int  // pulls that have not ended
+	mayHaveRun                 bool // one of the pulls that have ended may have run
 	answered                   bool
 	prefetchNode               string        // the edge cache to prefetch into; empty for a client's download
 	link                       *downloadLink // nil if signed links are disabled
@@ -134,7 +137,7 @@
 	g := &Core{config: c, log: log, warnings: &warnLimiter{log: log}, router: router.New(), pool: pool,
 		downloads: map[string]*download{},
 		clients:   map[Client]map[uint16]*download{}, probes: map[*caches.Pull]*timer{},
-		addresses: map[string]string{}, nodes: map[string]router.Entry{}, maxOpen: NewBudget(c).Open, now: now}
+		addresses: map[string]string{}, nodes: map[string]router.Entry{}, maxOpen: NewBudget(c).Open, endedWrites: newEndedWrites(NewBudget(c).EndedWrites), now: now}
 	g.emit(router.Started{Seed: c.Seed, Settings: c.RouterSettings})
 	for _, n := range c.Known {
 		g.handleChannelEvent(n)
@@ -418,6 +421,12 @@
 	if d.answered && d.openPulls == 0 && g.downloads[d.id] == d {
 		delete(g.downloads, d.id)
 		d.body.Release()
+		if d.atMostOnce {
+			g.writes--
+		}
+		if d.atMostOnce && d.mayHaveRun {
+			g.endedWrites.add(d.id, g.now)
+		}
 	}
 }
 
@@ -457,10 +466,13 @@
 	if err == nil && g.downloads[d.id] != nil {
 		err = fmt.Errorf("X-Job-Id: %s is open already", d.id)
 	}
+	if err == nil && d.atMostOnce && g.endedWrites.contains(d.id) {
+		err = fmt.Errorf("X-Job-Id: %s may have run already", d.id)
+	}
 	if err == nil {
 		g.meter.addDownload(e.At)
 	}
-	if err == nil && (g.open >= g.maxOpen || g.stopped) {
+	if err == nil && (g.open >= g.maxOpen || g.stopped || d.atMostOnce && g.endedWrites.full(g.writes, e.At)) {
 		g.Turned++
 		e.Body.Release()
 		e.Client.Answer(e.ID, clients.Answer{Status: 503, RetryAfter: g.config.MaxRetryAfter})
@@ -491,6 +503,9 @@
 func (g *Core) track(d *download) {
 	g.open++
 	g.downloads[d.id] = d
+	if d.atMostOnce {
+		g.writes++
+	}
 	if g.clients[d.client] == nil {
 		g.clients[d.client] = map[uint16]*download{}
 	}
@@ -689,6 +704,7 @@
 	g.timers.remove(p.sendDeadline)
 	p.cachePull = nil
 	d.openPulls--
+	d.mayHaveRun = d.mayHaveRun || !e.Status.NeverRan()
 	if e.Status == router.Fulfilled && d.cacheable {
 		g.meter.addPull(g.now, p.node, e.Note)
 	}
--- a/internal/gateway/core_test.go
+++ b/internal/gateway/core_test.go
@@ -558,7 +558,7 @@
 		config.MemoryMB, config.Sockets, config.MaxOpen = limits[0], limits[1], 1e9
 		budget := NewBudget(config)
 		conns := budget.Clients + budget.Caches
-		if used := budget.Reads + budget.Bodies + conns*memoryPerConn + budget.Open*memoryPerDownload; used > budget.Heap || budget.Heap+reservedMemory > limits[0]<<20 || conns > max(32, limits[1]-reservedDescriptors) {
+		if used := budget.Reads + budget.Bodies + conns*memoryPerConn + budget.Open*memoryPerDownload + budget.EndedWrites*memoryPerEndedWrite; used > budget.Heap || budget.Heap+reservedMemory > limits[0]<<20 || conns > max(32, limits[1]-reservedDescriptors) {
 			t.Errorf("%v: %+v is too much", limits, budget)
 		}
 		if withQuorum := shareWithQuorum(config); withQuorum.Clients+withQuorum.Caches > max(32, limits[1]-reservedDescriptors-maxPeerConns(config)) || withQuorum.Clients+withQuorum.Caches < 32 {
--- a/router/router.go
+++ b/router/router.go
@@ -420,6 +420,11 @@
 	return !d.write && !d.askedHeld && !p.onlyHeld && p.source.role == parent && p.node.role == edge
 }
 
+// NeverRan reports whether a pull that ended with this status is known not to have run.
+func (s Status) NeverRan() bool {
+	return slices.Contains([]Status{Rejected, NotConnected, NeverSent, Missed}, s)
+}
+
 // pullEnded assigns blame for a failed pull, passes the outcome on, and ends the download or offers its next pull.
 func (d *Download) pullEnded(r *Router, p *pull, e PullEnded) {
 	p.inFlight = false
@@ -445,7 +450,7 @@
 		connectTime > 0 && r.now-p.sentAt >= connectTime; p.sourceUnreachable {
 		p.sourceBlame = 1
 	}
-	p.mayHaveRun = !slices.Contains([]Status{Rejected, NotConnected, NeverSent, Missed}, e.Status)
+	p.mayHaveRun = !e.Status.NeverRan()
 	r.postToBoth(message{kind: msgEnded, pull: p, event: e})
 	if !d.write {
 		r.post(message{to: &r.holders, kind: msgOutcome, pull: p, event: e})
