Caches: a queued pull follows its node to a new address or process

Cause: SetNode retired the connections and left what was queued there.

Change: unwritten pulls of retired connections move to new ones; nothing is sent twice.

--- a/internal/caches/pool.go
+++ b/internal/caches/pool.go
@@ -104,17 +104,22 @@
 }
 
 // SetNode adds or updates a node. If its address or the start time of its process has changed, its connections are
-// retired and new ones opened.
-func (p *Pool) SetNode(id, address string, startedAt float64) {
+// retired and new ones opened, also for the pulls that wait on the retired ones: whoever answers at the old address now
+// may be another node.
+func (p *Pool) SetNode(id, address string, startedAt, now float64) {
 	n := p.nodes[id]
 	if n == nil {
 		n = &node{id: id}
 		p.nodes[id] = n
 	}
-	if n.address != address || n.startedAt != startedAt {
+	moved := n.address != address || n.startedAt != startedAt
+	if moved {
 		p.retireConns(n)
 	}
 	n.address, n.startedAt, n.excluded, n.removed = address, startedAt, false, false
+	if moved {
+		p.moveQueued(n, now, func(c *conn) bool { return c.retired })
+	}
 }
 
 // ExcludeNode stops all new traffic to a node, health checks included.
@@ -262,15 +267,15 @@
 	return c
 }
 
-// moveQueued moves pulls that wait for connections still being set up to connections that are up. They were never
-// written, so nothing is sent twice.
-func (p *Pool) moveQueued(n *node, now float64) {
+// moveQueued moves the pulls that wait on some connections of a node to others. They were never written, so nothing is
+// sent twice.
+func (p *Pool) moveQueued(n *node, now float64, from func(*conn) bool) {
 	for _, c := range slices.Clone(n.conns) {
-		if c.up {
+		if !from(c) {
 			continue
 		}
 		for _, id := range slices.Sorted(maps.Keys(c.open)) {
-			if pull := c.open[id]; c.wire.Remove(pull.command) {
+			if pull := c.open[id]; !pull.healthCheck && c.wire.Remove(pull.command) {
 				delete(c.open, id)
 				p.send(pull, pull.command.head, now)
 			}
@@ -460,7 +465,7 @@
 	case Up:
 		if c := p.conns[e.Wire]; c != nil {
 			c.up = true
-			p.moveQueued(c.node, e.At)
+			p.moveQueued(c.node, e.At, func(c *conn) bool { return !c.up })
 		}
 	case Replied:
 		p.handleReply(e)
--- a/internal/gateway/channel_events.go
+++ b/internal/gateway/channel_events.go
@@ -32,7 +32,7 @@
 		if g.addresses[node.Node] = node.Address; g.nodeListed != nil && node.State == router.Running {
 			g.nodeListed(node.Entry)
 		}
-		g.pool.SetNode(node.Node, node.Address, node.StartedAt)
+		g.pool.SetNode(node.Node, node.Address, node.StartedAt, g.now)
 		if g.drained.effective(node.Entry).State == router.Draining {
 			g.stopSending(node.Node) // after SetNode, which allows probes of the node
 		}
--- a/internal/gateway/drain_nodes.go
+++ b/internal/gateway/drain_nodes.go
@@ -44,7 +44,7 @@
 		listed := g.nodes[n]
 		if effective := g.drained.effective(listed); effective != previous.effective(listed) {
 			changes.Entries = append(changes.Entries, effective)
-			if g.pool.SetNode(n, g.addresses[n], listed.StartedAt); effective.State == router.Draining {
+			if g.pool.SetNode(n, g.addresses[n], listed.StartedAt, g.now); effective.State == router.Draining {
 				g.stopSending(n)
 			}
 		}
