Quorum: nothing is sent to a process that is not the gateway that was meant

Cause: only the side that opens a connection said who it is, and took whoever answered for the peer that it meant.

--- a/internal/quorum/driver/replica.go
+++ b/internal/quorum/driver/replica.go
@@ -151,6 +151,9 @@
 	c.peers = newPeers(name, l, maxConns, time.Duration(5*settings.Lease*float64(time.Millisecond)))
 	c.peers.address = c.node.Address // called by the loop only
 	c.peers.onLost = func(to string) { c.post(quorum.SendFailed{To: to}) }
+	c.peers.onMismatch = func(meant, answered string) {
+		log.WithFields(logrus.Fields{"name": meant, "answered": answered}).Warn("quorum: another gateway answers at the address of a peer; nothing is sent to it")
+	}
 	c.peers.onFrame = func(from string, f quorum.Frame, answer func(quorum.Frame)) {
 		switch f.Kind {
 		case quorum.KindStatus:
--- a/internal/quorum/frame.go
+++ b/internal/quorum/frame.go
@@ -50,6 +50,7 @@
 	PreviousIndex uint64    `cbor:"14,keyasint,omitempty"` // the index before the first of Entries
 	Voters        []uint64  `cbor:"15,keyasint,omitempty"`
 	FromFollower  bool      `cbor:"16,keyasint,omitempty"` // the sender does not run raft and needs the log sent to it
+	To            string    `cbor:"17,keyasint,omitempty"` // in the first frame of a connection: the gateway that is meant; empty: whoever answers
 }
 
 // Renewal renews the lease of one member. It names the member, as another gateway may forward it.
