Job settle: the record of another gateway than the place proves nothing

Change: the name in the answer is compared with the place; the error names both.

Evidence: TestSettleByRecordOfAnotherGateway, which has no counterpart in the old code: the name of who answered was thrown away. Not tried on processes.

--- a/cmd/poppymill/job.go
+++ b/cmd/poppymill/job.go
@@ -232,6 +232,15 @@
 	return submitJobCommand(ctx, cmd, 3, owner.Resolve, owner.Claim{Job: cmd.Args().Get(1), Step: step, Ran: cmd.Bool("ran")})
 }
 
+// checkPlace returns an error if the gateway that answered at the address of a step's place is not that place: its record
+// proves nothing about the step.
+func checkPlace(address, answered string, step owner.UncertainStep) error {
+	if answered == step.Place {
+		return nil
+	}
+	return fmt.Errorf("%s: step %d: gateway %q answers at the address of its place %q", address, step.Step, answered, step.Place)
+}
+
 // settleByRecord settles all steps that may have run by the records of their executing gateways. That a record lacks a
 // step proves nothing until that gateway knows a newer token than that under which the step was sent, so the job is
 // fenced first.
@@ -276,7 +285,11 @@
 		ran, fenced := false, false
 		for !ran && !fenced && err == nil {
 			var entries []effectlog.Entry
-			if _, err = query(placeAddress, quorumdriver.Query{Subject: "effects", Name: name}, &entries); err != nil {
+			var place quorum.Report
+			if place, err = query(placeAddress, quorumdriver.Query{Subject: "effects", Name: name}, &entries); err != nil {
+				break
+			}
+			if err = checkPlace(placeAddress, place.Name, d); err != nil {
 				break
 			}
 			ran, fenced = ownerdriver.CheckRecord(entries, name, d)
--- a/cmd/poppymill/main_test.go
+++ b/cmd/poppymill/main_test.go
@@ -8,6 +8,8 @@
 	"path/filepath"
 	"strings"
 	"testing"
+
+	"poppymill/internal/owner"
 )
 
 // runBinary runs the built command and returns its output and exit status.
@@ -69,3 +71,14 @@
 		t.Errorf("not one JSON document: %v, %.200s", err, out)
 	}
 }
+
+// Guards against a step being settled as never run by the record of a gateway that has taken over the address of its place.
+func TestSettleByRecordOfAnotherGateway(t *testing.T) {
+	step := owner.UncertainStep{Step: 7, Place: "g2"}
+	if err := checkPlace("127.0.0.1:7102", "g2", step); err != nil {
+		t.Error(err)
+	}
+	if err := checkPlace("127.0.0.1:7102", "g4", step); err == nil || !strings.Contains(err.Error(), `step 7: gateway "g4"`) {
+		t.Errorf("the record of g4 for a step at g2: %v", err)
+	}
+}
