Gateway: the tables of signed links count in the memory budget

Change: BudgetFor takes an operator's settings: descriptors for the quorum and memory for the tables are set aside first; a `memory` that leaves less than 20 MB is refused by name, also by `check`. The core gets the same budget as the server; before, it had one without the quorum.

Evidence: TestBudgetCountsLinkTables passes; by calculation, with NewBudget alone, heap, tables and reserve are 76,283,904 bytes at a limit of 67,108,864.

--- a/cmd/poppymill/serve.go
+++ b/cmd/poppymill/serve.go
@@ -52,7 +52,13 @@
 		return gateway.Setup{}, err
 	}
 	o, err := gateway.LoadSettings(cmd.String("operator"))
-	return gateway.Setup{Config: c, Operator: o}, err
+	if err != nil {
+		return gateway.Setup{}, err
+	}
+	if _, err := gateway.BudgetFor(c, o); err != nil {
+		return gateway.Setup{}, fmt.Errorf("%s: %w", cmd.String("operator"), err)
+	}
+	return gateway.Setup{Config: c, Operator: o}, nil
 }
 
 func serve(ctx context.Context, cmd *cli.Command) error {
--- a/internal/gateway/budget.go
+++ b/internal/gateway/budget.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"fmt"
+
 	"poppymill/internal/buffer"
 	"poppymill/internal/gatewayconfig"
 )
@@ -40,10 +42,25 @@
 // maxPeerConns returns how many connections the quorum of gateways may hold.
 func maxPeerConns(c *gatewayconfig.Config) int { return max(minConnsPerSide, c.Sockets/8) }
 
-// shareWithQuorum computes the budget of a gateway that takes part in the quorum. The peer connections are set aside
-// first, and a quarter of reservedDescriptors more for the quorum's listener, store and pending calls.
-func shareWithQuorum(c *gatewayconfig.Config) Budget {
+// minMemoryMB is the smallest memory limit, in MB, that leaves room for a gateway's own work.
+const minMemoryMB = 20
+
+// BudgetFor computes the budget of a gateway with an operator's settings. What the quorum needs of the descriptors, and the
+// tables of signed links of the memory, is set aside first.
+func BudgetFor(c *gatewayconfig.Config, s *Settings) (Budget, error) {
 	rest := *c
-	rest.Sockets -= maxPeerConns(c) + reservedDescriptors/4
-	return NewBudget(&rest)
+	if s.Quorum.On {
+		rest.Sockets -= quorumDescriptors(c)
+	}
+	if s.Links.On {
+		tables := (s.Links.Settings.TableBytes() + 1<<20 - 1) >> 20
+		if rest.MemoryMB -= tables; rest.MemoryMB < minMemoryMB && tables > 0 {
+			return Budget{}, fmt.Errorf("links: memory: its tables take %d MB of limits.memory_mb = %d, at least %d MB must be left", tables, c.MemoryMB, minMemoryMB)
+		}
+	}
+	return NewBudget(&rest), nil
 }
+
+// quorumDescriptors returns how many descriptors the quorum may hold: the peer connections, and a quarter of
+// reservedDescriptors more for its listener, store and pending calls.
+func quorumDescriptors(c *gatewayconfig.Config) int { return maxPeerConns(c) + reservedDescriptors/4 }
--- a/internal/gateway/core.go
+++ b/internal/gateway/core.go
@@ -135,7 +135,8 @@
 	g := &Core{config: c, log: log, warnings: &warnLimiter{log: log}, router: router.New(), pool: pool,
 		downloads: map[string]*download{},
 		clients:   map[Client]map[uint16]*download{}, probes: map[*caches.Pull]*timer{},
-		addresses: map[string]string{}, nodes: map[string]router.Entry{}, maxOpen: NewBudget(c).Open, endedWrites: newEndedWrites(NewBudget(c).EndedWrites), now: now}
+		addresses: map[string]string{}, nodes: map[string]router.Entry{}, now: now}
+	g.setBudget(NewBudget(c))
 	g.emit(router.Started{Seed: c.Seed, Settings: c.RouterSettings})
 	for _, n := range c.Known {
 		g.handleChannelEvent(n)
@@ -144,6 +145,11 @@
 	return g
 }
 
+// setBudget sets the limits of the core's own state, before it takes requests.
+func (g *Core) setBudget(b Budget) {
+	g.maxOpen, g.endedWrites = b.Open, newEndedWrites(b.EndedWrites)
+}
+
 // Open returns the number of downloads that are not answered yet.
 func (g *Core) Open() int { return g.open }
 
--- a/internal/gateway/core_test.go
+++ b/internal/gateway/core_test.go
@@ -19,6 +19,8 @@
 	"poppymill/internal/channel"
 	"poppymill/internal/clients"
 	"poppymill/internal/gatewayconfig"
+	linksdriver "poppymill/internal/links/driver"
+	quorumdriver "poppymill/internal/quorum/driver"
 	"poppymill/router"
 )
 
@@ -561,7 +563,8 @@
 		if used := budget.Reads + budget.Bodies + conns*memoryPerConn + budget.Open*memoryPerDownload + budget.EndedWrites*memoryPerEndedWrite; used > budget.Heap || budget.Heap+reservedMemory > limits[0]<<20 || conns > max(32, limits[1]-reservedDescriptors) {
 			t.Errorf("%v: %+v is too much", limits, budget)
 		}
-		if withQuorum := shareWithQuorum(config); withQuorum.Clients+withQuorum.Caches > max(32, limits[1]-reservedDescriptors-maxPeerConns(config)) || withQuorum.Clients+withQuorum.Caches < 32 {
+		withQuorum, err := BudgetFor(config, &Settings{Quorum: quorumdriver.Block{On: true}})
+		if err != nil || withQuorum.Clients+withQuorum.Caches > max(32, limits[1]-reservedDescriptors-maxPeerConns(config)) || withQuorum.Clients+withQuorum.Caches < 32 {
 			t.Errorf("%v: with %d peer connections %+v", limits, maxPeerConns(config), withQuorum)
 		}
 		if budget.Clients < min(config.Sockets/3, 16) || budget.Reads < conns*buffer.Size || budget.Bodies < 4*240_000 || budget.Open < 300 {
@@ -570,6 +573,22 @@
 	}
 }
 
+// Guards against tables of signed links that no budget counts growing the process past its memory limit.
+func TestBudgetCountsLinkTables(t *testing.T) {
+	config := testConfig(t)
+	config.MemoryMB, config.Sockets = 64, 1024
+	settings := &Settings{Links: linksdriver.Block{On: true}}
+	settings.Links.Settings.Memory = 8 << 20
+	budget, err := BudgetFor(config, settings)
+	if err != nil || budget.Heap+settings.Links.Settings.TableBytes()+reservedMemory > 64<<20 {
+		t.Errorf("%+v with two tables of 8 MB, %v", budget, err)
+	}
+	settings.Links.Settings.Memory = 24 << 20
+	if _, err := BudgetFor(config, settings); err == nil || !strings.Contains(err.Error(), "links: memory: ") {
+		t.Errorf("two tables of 24 MB: %v", err)
+	}
+}
+
 // At shutdown, downloads accepted until the last moment are answered in time, and the answers are flushed before the
 // process may be killed: the longest expiry plus 0.7 s after the signal, 3.7 s at most.
 func TestAnswerBy(t *testing.T) {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -92,9 +92,10 @@
 		return fmt.Errorf("listen: %w", err)
 	}
 	clock := newClock()
-	budget := NewBudget(c)
-	if s.Operator.Quorum.On {
-		budget = shareWithQuorum(c)
+	budget, err := BudgetFor(c, s.Operator)
+	if err != nil {
+		listener.Close()
+		return err
 	}
 	debug.SetMemoryLimit(int64(budget.Heap))
 	buffers, reads := buffer.NewPool(budget.Bodies), buffer.NewPool(budget.Reads)
@@ -104,6 +105,7 @@
 	pool := caches.NewPool(caches.Limits{PullsPerConn: c.StreamsPerConn, IdleTimeout: c.IdleTimeout, Conns: budget.Caches,
 		RequestLoad: c.Reports, HealthChecks: c.Probing, AnswerTimeout: c.ConnectTimeout, GaugeName: gatewayconfig.LoadValueName}, dialer.Dial)
 	core := NewCore(c, pool, log, clock.now())
+	core.setBudget(budget)
 	if f := s.Operator.Fair; f.On {
 		f.Settings.MaxWait = min(f.Settings.MaxWait, c.MaxRetryAfter)
 		core.EnableFairAdmission(fair.New(f.Settings, c.Seed, clock.now()), f)
--- a/internal/links/links.go
+++ b/internal/links/links.go
@@ -101,6 +101,9 @@
 	HasStore         bool     // spent tokens are stored, and read back after a restart
 }
 
+// TableBytes returns the memory that the replay table and the cache of verified tokens may take, in bytes.
+func (s Settings) TableBytes() int { return 2 * s.Memory }
+
 // MaxSkew is the largest Settings.Skew that may be configured.
 const MaxSkew = time.Minute
 
