--- a/internal/rehearsal/sockets/owner_test.go
+++ b/internal/rehearsal/sockets/owner_test.go
@@ -83,7 +83,12 @@
 // waitForFailpoint waits until it has.
 func (c *cluster) armFailpoint(gateway int, action, where string, n int) {
 	c.t.Helper()
-	point := fmt.Sprintf("%s:%d", where, n)
+	c.setFailpoints(gateway, fmt.Sprintf("failpoints {\n  %s = [%q]\n}\n", action, fmt.Sprintf("%s:%d", where, n)))
+}
+
+// setFailpoints replaces the failpoints of a gateway by those of a block, or by none.
+func (c *cluster) setFailpoints(gateway int, block string) {
+	c.t.Helper()
 	armedCount := func() (times int) {
 		files, _ := filepath.Glob(fmt.Sprintf("%s/gateway-%d-*.log", c.logDir, gateway))
 		for _, f := range files {
@@ -94,7 +99,7 @@
 	}
 	before := armedCount()
 	c.mu.Lock()
-	c.failpoints[gateway] = fmt.Sprintf("failpoints {\n  %s = [%q]\n}\n", action, point)
+	c.failpoints[gateway] = block
 	c.mu.Unlock()
 	c.inject(script.Event{Kind: "hup", Name: c.names[gateway]})
 	c.waitFor("the failpoint is in force", func() bool { return armedCount() > before })
@@ -248,9 +253,23 @@
 		const steps = 1500
 		c.startDrill("work", owner.Keyed, steps, 100, 4) // executed at all others, never at the owner itself
 		c.waitForFailpoint(old)
+		for i := range c.names {
+			if i != old { // whoever owns the job next stops amid its steps: that it is at work can't be missed
+				c.armFailpoint(i, "stop", failpoint.Sending, 100)
+			}
+		}
 		c.inject(script.Event{Kind: "freeze", Name: c.names[old], Duration: 3500})
-		next := c.waitForJob("work", "another gateway is the owner", func(j owner.Report) bool { return j.Owner != "" && j.Owner != c.names[old] })
-		c.inject(script.Event{Kind: "kill", Name: next.Owner, Duration: 500})
+		next := old
+		c.waitFor("another gateway is the owner", func() bool {
+			next = slices.IndexFunc(c.names, func(name string) bool { return name != c.names[old] && c.stage.ProcessStopped(c.index(name)) })
+			return next >= 0
+		})
+		for i := range c.names {
+			if i != old && i != next {
+				c.setFailpoints(i, "")
+			}
+		}
+		c.inject(script.Event{Kind: "kill", Name: c.names[next], Duration: 500})
 		c.waitForReports("the old owner has rejoined", c.converged)
 		all := c.finishJob("work")
 		c.checkSteps(all, "work", steps, true)
