--- a/internal/gateway/reload.go
+++ b/internal/gateway/reload.go
@@ -119,7 +119,9 @@
 		r.refuse(result, sourceLinkKeys, keysRefused, err)
 	}
 	if s.Fair.On && r.start.Fair.On {
-		r.linkDriver.poster.post(FairnessChanged{Block: s.Fair})
+		block := s.Fair
+		block.Club, block.Client = r.start.Fair.Club, r.start.Fair.Client // the server keeps the params of the start
+		r.linkDriver.poster.post(FairnessChanged{Block: block})
 	}
 	if points := s.Failpoints; failpoint.On {
 		failpoint.Set(points)
