Clients: look for requests to refuse at most every 10 ms

While the memory for requests was short, each read looked through all connections, though what holds the memory may be requests that are complete or have just begun.

--- a/internal/clients/serve.go
+++ b/internal/clients/serve.go
@@ -44,6 +44,7 @@
 	RefusedFull atomic.Int64 // requests received in part that were refused to free memory for others
 	open        atomic.Int64
 	unanswered  requestCount
+	freeAgainAt atomic.Int64 // ms, before which freeRequestMemory does not look through all connections again
 	mu          sync.Mutex
 	conns       map[*Conn]bool
 	draining    bool // new connections close after their first response
@@ -181,19 +182,22 @@
 
 // Requests received in part hold their buffers until they are complete, so clients that stop half way could take them all.
 // Above highUse of the pool, the requests that have taken longest are refused until its use is down to lowUse. A request
-// that began less than minReceiveTime ago is never refused for another one.
+// that began less than minReceiveTime ago is never refused for another one, and all connections are looked through at
+// most once in freeInterval, as there may be nothing to refuse.
 const (
 	highUse        = 0.75
 	lowUse         = 0.5
 	minReceiveTime = 100.0 // ms
+	freeInterval   = 10    // ms
 )
 
 // freeRequestMemory refuses requests received in part if they use up the memory for them. They never ran.
 func (s *Server) freeRequestMemory(now float64) {
 	limit := float64(s.Requests.Limit())
-	if float64(s.Requests.InUse()) < highUse*limit {
+	if float64(s.Requests.InUse()) < highUse*limit || int64(now) < s.freeAgainAt.Load() {
 		return
 	}
+	s.freeAgainAt.Store(int64(now) + freeInterval)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var starts []float64
--- a/internal/gateway/core.go
+++ b/internal/gateway/core.go
@@ -58,7 +58,8 @@
 // Counters count events since the start of the gateway; the log line "counters" writes each under its own name.
 // Taken counts accepted downloads; Kept those of the Fulfilled whose client keeps the copy that it has; Left those
 // that their client aborted; Refused malformed requests; Turned requests turned away at the limit of open downloads
-// or during shutdown; Departed requests whose client had closed before they were handled; Overdue downloads that the router left unanswered; Forbidden requests refused by their link.
+// or during shutdown; Departed requests whose client had closed before they were handled; Overdue downloads that the
+// router left unanswered; Forbidden requests refused by their link.
 type Counters struct {
 	Taken, Fulfilled, Kept, Throttled, Abandoned, Left, Refused, Turned, Overdue, Pulls, Probes, Panics, Forbidden, Departed int
 }
