--- a/internal/clients/close_test.go
+++ b/internal/clients/close_test.go
@@ -118,9 +118,27 @@
 	c.Write(completeRequest(1, 1))
 	(<-s.handler.requests)(Answer{Status: 200})
 	s.readResponse(c)
+	for !s.allIdle() { // the client may have the response before the server's writer is done with it
+		runtime.Gosched()
+	}
 	return c
 }
 
+// allIdle reports whether all connections are idle.
+func (s *testServer) allIdle() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		c.mu.Lock()
+		idle := c.idle()
+		c.mu.Unlock()
+		if !idle {
+			return false
+		}
+	}
+	return true
+}
+
 // readResponse reads one response up to its END_REQUEST record and returns the size of its contents.
 func (s *testServer) readResponse(c *net.TCPConn) (size int) {
 	s.t.Helper()
@@ -140,7 +158,9 @@
 func (s *testServer) stop() {
 	s.t.Helper()
 	s.listener.Close()
-	s.CloseAll()
+	for s.CloseAll(); len(s.done) == 0; s.CloseAll() { // a connection may still be on its way from the listener
+		time.Sleep(time.Millisecond)
+	}
 	s.checkReleased()
 }
 
