Purges: late objects are in force by the clock, batches do not wait for the log

Cause: the stated time follows from the rate alone, but at most one batch went out in the time of one agreement, and no gateway applied a purge to an object before its batch was agreed. Whatever slowed the log down, or kept the sender of batches from its work, moved the real end past the stated one.

Change: every gateway that knows of a purge holds its unpublished objects in a schedule (purges.Schedule) and goes by each object half the delay after it is due, by its own clock; a quarter is left for clocks and a quarter for responses on their way. What comes into force this way does so object by object at the rate. The sender no longer waits for a batch to be agreed before it proposes the next (purges.Pipeline, 32 in flight, in order), and after a stall it goes on at the rate in place of sending all that is due at once, as the log holds when the rate allows another batch. What the state machine accepts is unchanged, so old and new gateways apply the same.

--- a/internal/gateway/core.go
+++ b/internal/gateway/core.go
@@ -181,9 +181,9 @@
 	case DrainNodes:
 		g.Advance(e.At)
 		g.drainNodes(e)
-	case ApplyMarks:
+	case ApplyPurges:
 		g.Advance(e.At)
-		g.applyMarks(e)
+		g.applyPurges(e)
 	case KeysReloaded:
 		if g.links != nil {
 			g.links.block = e.Block
--- a/internal/gateway/purge_bounds.go
+++ b/internal/gateway/purge_bounds.go
@@ -9,13 +9,12 @@
 	"poppymill/router"
 )
 
-// ApplyMarks asks the core to apply purge marks: copies created before the time of a mark are no longer used as
-// answers, whatever a cache holds. Done is called from the core's goroutine once the marks are in force.
-type ApplyMarks struct {
-	Marks []purges.Mark
-	Index uint64
-	At    float64
-	Done  func(index uint64)
+// ApplyPurges asks the core to apply what the gateways agreed on: copies created before the time of a mark are no longer
+// used as answers, whatever a cache holds. Done is called from the core's goroutine once the update is in force.
+type ApplyPurges struct {
+	Update purges.Update
+	At     float64
+	Done   func(index uint64)
 }
 
 // purgeBounds holds the purges in force (purges.View) and the clocks that they are checked against.
@@ -79,12 +78,21 @@
 // batches the bounds alone apply.
 const maxRouterMarks = 64
 
-// applyMarks puts purge marks in force.
-func (g *Core) applyMarks(e ApplyMarks) {
+// applyPurges puts an update in force.
+func (g *Core) applyPurges(e ApplyPurges) {
+	g.purges.view.Apply(e.Update)
+	if len(e.Update.Marks) <= maxRouterMarks {
+		g.passMarksToRouter(e.Update.Marks)
+	}
+	e.Done(e.Update.Index)
+}
+
+// passMarksToRouter tells the router what was purged, and takes back pulls that accept copies from before.
+func (g *Core) passMarksToRouter(marks []purges.Mark) {
 	named := map[string]bool{}
 	groups := map[int64]bool{}
-	for _, m := range e.Marks {
-		if g.purges.view.Bounds.Put(m); m.Club != "" && m.Club != g.purges.view.Club || m.Stale || len(e.Marks) > maxRouterMarks {
+	for _, m := range marks {
+		if m.Club != "" && m.Club != g.purges.view.Club || m.Stale {
 			continue
 		}
 		switch age := max(0, g.now-m.At); {
@@ -99,12 +107,11 @@
 	if len(named)+len(groups) > 0 { // pulls not written yet accept copies that are now purged
 		g.withdrawPulls(func(p *pull) bool { return named[p.download.object] || groups[p.download.group] })
 	}
-	e.Done(e.Index)
 }
 
-// ApplyMarks passes purge marks to the core.
-func (c coreProxy) ApplyMarks(marks []purges.Mark, index uint64, done func(uint64)) {
-	c.poster.post(ApplyMarks{Marks: marks, Index: index, At: c.poster.now(), Done: done})
+// ApplyPurges passes an update to the core.
+func (c coreProxy) ApplyPurges(update purges.Update, done func(uint64)) {
+	c.poster.post(ApplyPurges{Update: update, At: c.poster.now(), Done: done})
 }
 
 // SetKnown sets up to when all agreed purges are known: ago ms before now, or never if negative.
--- a/internal/gateway/purge_bounds_test.go
+++ b/internal/gateway/purge_bounds_test.go
@@ -78,7 +78,7 @@
 			case n < 77:
 				mark := purges.Mark{Object: fmt.Sprintf("%016x", r.Intn(4)), At: h.now + limits.Skew - 3000*r.Float64(), Club: []string{"", "amber", "birch"}[r.Intn(3)], Stale: r.Intn(3) == 0}
 				doneIndex := 0
-				h.core.Handle(ApplyMarks{Marks: []purges.Mark{mark}, Index: 7, At: h.now, Done: func(index uint64) { doneIndex += int(index) }})
+				h.core.Handle(ApplyPurges{Update: purges.Update{Marks: []purges.Mark{mark}, Index: 7}, At: h.now, Done: func(index uint64) { doneIndex += int(index) }})
 				if doneIndex != 7 {
 					t.Fatalf("done called with %d", doneIndex)
 				}
@@ -120,7 +120,7 @@
 		marks[i] = purges.Mark{Object: fmt.Sprintf("%016x", i), At: h.now}
 	}
 	done := false
-	h.core.Handle(ApplyMarks{Marks: marks, Index: 1, At: h.now, Done: func(uint64) { done = true }})
+	h.core.Handle(ApplyPurges{Update: purges.Update{Marks: marks, Index: 1}, At: h.now, Done: func(uint64) { done = true }})
 	if !done || h.core.purges.view.Bounds.Len() != 8000 {
 		t.Errorf("done %t, %d held", done, h.core.purges.view.Bounds.Len())
 	}
--- a/internal/purges/driver/service.go
+++ b/internal/purges/driver/service.go
@@ -35,8 +35,8 @@
 
 // Core is the interface to a gateway's core.
 type Core interface {
-	// ApplyMarks makes the core apply marks; done is called once, from the loop of the core, when it does.
-	ApplyMarks(marks []purges.Mark, index uint64, done func(index uint64))
+	// ApplyPurges makes the core apply an update; done is called once, from the loop of the core, when it does.
+	ApplyPurges(update purges.Update, done func(index uint64))
 	// SetKnown reports that all entries committed up to ago ms before now are known; a negative value means that this is
 	// not known.
 	SetKnown(ago float64)
@@ -63,6 +63,7 @@
 	pending        map[string]float64 // commands in flight, with the time at which they may be proposed again
 	publishedIndex uint64             // log index up to which marks were passed to the core
 	appliedIndex   uint64             // log index up to which the core applies them
+	batches        purges.Pipeline
 	loggedStages   map[string]purges.Stage
 	loggedChanges  uint64 // change counter of the state machine when stages were last logged
 	misses         float64
@@ -126,7 +127,7 @@
 	switch event := e.(type) {
 	case quorumdriver.LogAdvanced:
 		s.followed = event
-		s.publishMarks(event.Restored)
+		s.updateCore(event.Restored)
 		s.logStages()
 	case Misses:
 		s.misses = event.Rate
@@ -143,18 +144,16 @@
 	}
 }
 
-// publishMarks passes newly published marks to the core. After a snapshot was restored it passes all marks: bounds
-// never decrease, so those that the core has already are not lost.
-func (s *Service) publishMarks(restored bool) {
-	marks := s.stateMachine.TakeMarks()
-	if restored {
-		marks = s.stateMachine.Bounds.Marks()
-	}
-	if len(marks) == 0 && s.stateMachine.LastIndex <= s.publishedIndex {
+// updateCore passes what changed to the core. After a snapshot was restored it passes all marks: bounds never decrease, so
+// those that the core has already are not lost.
+func (s *Service) updateCore(restored bool) {
+	update := s.stateMachine.TakeUpdate(restored)
+	if update.Empty() && update.Index <= s.publishedIndex {
 		return
 	}
-	s.publishedIndex = max(s.publishedIndex, s.stateMachine.LastIndex)
-	s.core.ApplyMarks(marks, s.publishedIndex, func(index uint64) { s.replica.Post(marksApplied{index}) })
+	s.publishedIndex = max(s.publishedIndex, update.Index)
+	update.Index = s.publishedIndex
+	s.core.ApplyPurges(update, func(index uint64) { s.replica.Post(marksApplied{index}) })
 }
 
 // proposeDue proposes the commands that are due from this gateway: confirmations, misses, ticks and batches.
@@ -179,11 +178,17 @@
 		}
 	}
 	token, owns := s.runner.Owns(BatchJob)
-	if o, ok := s.stateMachine.BatchToSend(unixMillis(), token, owns, s.followed.Leads); ok {
-		s.propose(purges.Batch, fmt.Sprint(o.ID, o.First), o)
+	for _, o := range s.batches.Due(s.stateMachine, unixMillis(), token, owns, s.followed.Leads) {
+		s.proposeBatch(o)
 	}
 }
 
+// proposeBatch proposes a batch. The replica repeats it until its outcome is known.
+func (s *Service) proposeBatch(o purges.CommandData) {
+	command := quorum.Command{StateMachine: StateMachineName, Kind: purges.Batch, Data: codec.Encode(o)}
+	s.replica.Propose(command, func(quorum.Outcome) { s.batches.Ended(o.ID, o.First) })
+}
+
 // propose proposes a command of the purge log.
 func (s *Service) propose(kind, key string, o purges.CommandData) {
 	s.proposeTo(StateMachineName, kind, key, o)
--- a/internal/purges/statemachine.go
+++ b/internal/purges/statemachine.go
@@ -1,6 +1,7 @@
 package purges
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"maps"
@@ -19,9 +20,11 @@
 	Now          float64            `cbor:"5,keyasint"` // the latest time carried by a command
 	HighestToken uint64             `cbor:"6,keyasint"` // highest fencing token under which a batch was published
 	LastIndex    uint64             `cbor:"7,keyasint"` // log index of the last published mark
+	PacedUntil   float64            `cbor:"8,keyasint"` // when the rate of the published batches allows another one
 
-	newMarks []Mark // marks published since the last TakeMarks
-	changes  uint64 // incremented on every possible change, so that callers need not scan the state for each log entry
+	newMarks []Mark          // marks published since the last TakeMarks
+	progress map[string]bool // paced purges that changed since the last TakeUpdate
+	changes  uint64          // incremented on every possible change, so that callers need not scan the state for each log entry
 }
 
 // State is the state of one purge.
@@ -203,6 +206,7 @@
 	b.Bounds.Limit = o.Limits.MaxBounds
 	s := &State{Purge: *o.Purge, Limits: *o.Limits, LogIndex: index, Accepted: b.Now}
 	b.Purges[s.Purge.ID] = s
+	b.markProgress(s)
 	if p := &s.Purge; p.Pattern != "" {
 		b.publish(index, s, Mark{Pattern: p.Pattern})
 	} else if len(p.Groups) > 0 {
@@ -267,7 +271,9 @@
 	case o.First != s.Published || o.Next <= o.First || o.Next > len(s.Purge.Objects) || o.Next-o.First > s.Limits.Batch:
 		return nil, ErrOutOfOrder // a duplicate, or from a sender that had not seen the previous batch
 	}
+	b.PacedUntil = s.pacedAfter(b.PacedUntil, o.First, o.Next, o.At) // by the clock of its sender, which sends the next one too
 	b.publishObjects(index, s, o.Next)
+	b.markProgress(s)
 	return s, nil
 }
 
@@ -283,6 +289,7 @@
 		return nil, ErrFinished
 	}
 	s.Stage, s.Ended = Cancelled, b.Now
+	b.markProgress(s)
 	return s, nil
 }
 
@@ -315,75 +322,6 @@
 	return all
 }
 
-// dueAt returns when the object with this index is to be published.
-func (s *State) dueAt(object int) float64 {
-	if s.Limits.Rate == 0 {
-		return s.Start
-	}
-	return s.Start + 1000*float64(object)/s.Limits.Rate
-}
-
-// overdue reports whether an object is so late that its owner must be lost. Any gateway that knows of it may then send
-// its batch, so that the delay is kept.
-func (s *State) overdue(object int, now float64) bool {
-	return s.Limits.Rate > 0 && now >= s.dueAt(object)+s.Limits.Delay/4
-}
-
-// Effective returns the time from which no older copy is served anywhere. It is known on acceptance.
-func (s *State) Effective() float64 { return s.dueAt(len(s.Purge.Objects)) + s.Limits.Delay }
-
-// missesValidFor is the time, in ms, for which a gateway's report of its misses is used.
-const missesValidFor = 5000.0
-
-// totalMisses sums the fills per second of all joined gateways with a recent report.
-func (b *StateMachine) totalMisses() (sum float64) {
-	for _, g := range b.Gateways {
-		if g.Joined && b.Now < g.MissesAt+missesValidFor {
-			sum += g.Misses
-		}
-	}
-	return sum
-}
-
-// AwaitsMisses reports whether the gateways have to report their misses, as a purge with a limit on fills is in
-// progress.
-func (b *StateMachine) AwaitsMisses() bool {
-	for _, s := range b.Purges {
-		if s.Stage == Publishing && s.Limits.MaxFills > 0 {
-			return true
-		}
-	}
-	return false
-}
-
-// NextBatch returns the batch to publish next under the rate of the limits, and whether it is due; late reports that
-// the leader is to send it because its owner did not.
-func (b *StateMachine) NextBatch(now float64) (o CommandData, due, late bool) {
-	var first *State
-	for _, s := range b.Purges {
-		if s.Stage == Publishing && (first == nil || s.LogIndex < first.LogIndex) {
-			first = s
-		}
-	}
-	if first == nil || now < first.dueAt(first.Published) {
-		return o, false, false
-	}
-	// A mass purge must not overload hubs and core, so misses delay the next batch, but never so long that the delay of
-	// the purge is exceeded.
-	if l := first.Limits; l.MaxFills > 0 && b.totalMisses() > l.MaxFills && !first.overdue(first.Published, now) {
-		return o, false, false
-	}
-	return CommandData{At: now, ID: first.Purge.ID, First: first.Published, Next: min(len(first.Purge.Objects), first.Published+first.Limits.Batch)}, true, first.overdue(first.Published, now)
-}
-
-// BatchToSend returns the batch that this gateway is to send now, if any: the owner sends batches that are due, the
-// leader sends those that the owner left overdue.
-func (b *StateMachine) BatchToSend(now float64, token uint64, owns, leads bool) (CommandData, bool) {
-	o, due, late := b.NextBatch(now)
-	o.Token = token
-	return o, due && (owns || late && leads)
-}
-
 // AnyOpen reports whether any purge is neither done nor cancelled.
 func (b *StateMachine) AnyOpen() bool {
 	for _, s := range b.Purges {
@@ -417,7 +355,7 @@
 
 // All returns the purges in log order.
 func (b *StateMachine) All() []*State {
-	return slices.SortedFunc(maps.Values(b.Purges), func(x, y *State) int { return int(int64(x.LogIndex) - int64(y.LogIndex)) })
+	return slices.SortedFunc(maps.Values(b.Purges), byLogIndex)
 }
 
 // Changes returns a counter that is incremented whenever the state may have changed.
@@ -430,6 +368,58 @@
 	return marks
 }
 
+// markProgress records that a paced purge changed.
+func (b *StateMachine) markProgress(s *State) {
+	if s.Limits.Rate == 0 || len(s.Purge.Objects) == 0 {
+		return
+	}
+	if b.progress == nil {
+		b.progress = map[string]bool{}
+	}
+	b.progress[s.Purge.ID] = true
+}
+
+// TakeUpdate returns what changed since the previous call. Restored: the state was replaced by a snapshot, and the update
+// holds all of it.
+func (b *StateMachine) TakeUpdate(restored bool) Update {
+	u := Update{Marks: b.TakeMarks(), Progress: b.takeProgress(), Restored: restored, Index: b.LastIndex}
+	if !restored {
+		return u
+	}
+	u.Marks, u.Progress = b.Bounds.Marks(), nil
+	for _, s := range b.unpublished() {
+		u.Progress = append(u.Progress, *s)
+	}
+	return u
+}
+
+// takeProgress returns the paced purges that changed since the previous call.
+func (b *StateMachine) takeProgress() (all []State) {
+	for id := range b.progress {
+		if s := b.Purges[id]; s != nil {
+			all = append(all, *s)
+		} else { // finished and evicted meanwhile
+			all = append(all, State{Purge: Purge{ID: id}, Stage: Done})
+		}
+	}
+	b.progress = nil
+	return all
+}
+
+// unpublished returns the paced purges with objects that are not published, in log order.
+func (b *StateMachine) unpublished() (all []*State) {
+	for _, s := range b.Purges {
+		if s.Stage == Publishing {
+			all = append(all, s)
+		}
+	}
+	slices.SortFunc(all, byLogIndex)
+	return all
+}
+
+// byLogIndex orders purges by their acceptance.
+func byLogIndex(x, y *State) int { return cmp.Compare(x.LogIndex, y.LogIndex) }
+
 // Save encodes the state as a snapshot; equal states have identical encodings.
 func (b *StateMachine) Save() []byte { return codec.Encode(b) }
 
--- a/internal/purges/view.go
+++ b/internal/purges/view.go
@@ -4,6 +4,7 @@
 // it may no longer rely on them alone.
 type View struct {
 	Bounds      *BoundSet
+	Schedule    Schedule // objects that are not published yet
 	Club        string
 	Delay       float64 // ms within which purges take effect at gateways that cannot receive them; 0: this gateway does not take part
 	Skew        float64
@@ -14,11 +15,26 @@
 // purged. The rest allows for the time that a response takes to reach the client.
 const blindAfter = 0.75
 
+// Apply applies an update.
+func (v *View) Apply(u Update) {
+	for _, m := range u.Marks {
+		v.Bounds.Put(m)
+	}
+	if u.Restored {
+		v.Schedule = Schedule{}
+	}
+	for _, purge := range u.Progress {
+		v.Schedule.Update(purge)
+	}
+}
+
 // MinCreated returns the minimum creation time of a copy that may serve a download at time now, given that all log entries
 // committed before the time known are applied; 0 accepts any copy. Purges that only mark copies stale bind the first
 // pull alone; later pulls accept older copies.
 func (v *View) MinCreated(now, known float64, object string, group int64, first bool) float64 {
 	hard, soft := v.Bounds.Bound(v.Club, object, group)
+	lateHard, lateSoft := v.Schedule.Bound(now, v.Club, object)
+	hard, soft = max(hard, lateHard), max(soft, lateSoft)
 	if v.Delay > 0 && now-known > blindAfter*v.Delay {
 		// An unknown purge that must already be in effect was accepted at least this long ago, so copies created later
 		// are not affected by it.
--- a/internal/rehearsal/sockets/purges_test.go
+++ b/internal/rehearsal/sockets/purges_test.go
@@ -175,6 +175,43 @@
 	})
 }
 
+// Guards against a purge that misses the time that it stated because its batches wait for the log (review/8): messages between
+// the gateways take 40 ms, each batch has two objects, and the owner is frozen for a while in addition. After the stated time no
+// gateway may answer from an older copy, and batches follow.
+func TestPurgeKeepsStatedTimeOverSlowLog(t *testing.T) {
+	runPurgeCluster(t, nil, purges.Limits{Delay: 4000, Skew: 100, Rate: 200, Batch: 2, MaxBounds: 2000}, func(pc *purgeCluster) {
+		pc.waitFor("clients have requested enough objects", func() bool { return len(pc.requestedObjects(3)) >= 15 })
+		var objects []string
+		for i := range 800 { // nobody requests these
+			objects = append(objects, fmt.Sprintf("ffff%012x", i))
+		}
+		objects = append(objects, pc.requestedObjects(1)...)
+		for _, name := range pc.names {
+			pc.inject(script.Event{Kind: "delay", Name: name, Duration: 60_000, Delay: 40})
+		}
+		x := pc.acceptPurge(purges.Purge{ID: "class-7", Objects: objects}, 0)
+		when, by := x.Accepted-pc.epoch(), x.Effective-pc.epoch()
+		if want := 5*float64(len(objects)) + pc.limits.Delay; by-when != want {
+			t.Errorf("states %v ms, want %v", by-when, want)
+		}
+		first := pc.waitForJob(purgesdriver.BatchJob, "owned", func(j owner.Report) bool { return j.Owner != "" })
+		pc.waitFor("some batches are sent", func() bool { return pc.purgeStatus("class-7", 0).Published > 100 })
+		pc.inject(script.Event{Kind: "freeze", Name: first.Owner, Duration: 1500})
+		for g := range pc.names {
+			pc.waitFor(pc.names[g]+" answers after the stated time", func() bool {
+				return pc.countResponses(func(a response) bool { return a.gateway == g && a.at > by+200 }) >= 20
+			})
+		}
+		if n := pc.countResponses(func(a response) bool { return a.at < by && a.copiedAt < when }); n < 20 {
+			t.Errorf("only %d responses from older copies before the stated time: the test proves nothing", n)
+		}
+		if n := pc.countResponses(func(a response) bool { return a.at > by+200 && a.copiedAt < when && slices.Contains(objects, a.object) }); n > 0 {
+			t.Errorf("%d responses from older copies after the stated time", n)
+		}
+		pc.waitFor("all objects are published as well", func() bool { return pc.purgeStatus("class-7", 0).Published == len(objects) })
+	})
+}
+
 // A purge in paced batches continues at its first open batch while its owner is frozen and resumes late, a gateway restarts
 // without its disk, and then all are killed at once: no batch is skipped or sent twice. A newer purge of some of the same objects
 // covers those of the older one; a purge that is cancelled half way reports how far it got; reusing an ID with other content is
