Purges: the log counts as known only once the core applies what it says

What callers could see: a response from a copy that a purge had ended, from a gateway that had just started or whose core had a long queue.

Cause: the replica told the core up to when all purges are known through an atomic variable, at once, while the purges themselves went through the core's inbox. Until the core came to them it took itself for up to date and did not go by them. A core whose inbox stood still would have trusted older copies for longer than the delay. The time was also set before the marks of the same log entry were passed on.

Change: updates are passed first, and a newer time is taken over only when the core has applied all that was passed; until then the last one ages, and the gateway turns cautious as it does without news.

Evidence: TestViewIsKnownOnceApplied fails with the comparison taken out (known while the update is in the inbox). Found by reading, not seen on processes.

--- a/internal/gateway/purge_bounds.go
+++ b/internal/gateway/purge_bounds.go
@@ -26,7 +26,11 @@
 
 // knownUntil is the time up to which all agreed purges are known, by the core's clock. The quorum's goroutine writes
 // it, the core reads it.
-type knownUntil struct{ bits atomic.Uint64 }
+type knownUntil struct {
+	bits    atomic.Uint64
+	posted  atomic.Uint64 // updates passed to the core
+	applied atomic.Uint64 // those of them that are in force
+}
 
 func (k *knownUntil) set(at float64) { k.bits.Store(math.Float64bits(at)) }
 func (k *knownUntil) at() float64    { return math.Float64frombits(k.bits.Load()) }
@@ -111,14 +115,20 @@
 
 // ApplyPurges passes an update to the core.
 func (c coreProxy) ApplyPurges(update purges.Update, done func(uint64)) {
-	c.poster.post(ApplyPurges{Update: update, At: c.poster.now(), Done: done})
+	c.knownUntil.posted.Add(1)
+	c.poster.post(ApplyPurges{Update: update, At: c.poster.now(), Done: func(index uint64) {
+		c.knownUntil.applied.Add(1)
+		done(index)
+	}})
 }
 
-// SetKnown sets up to when all agreed purges are known: ago ms before now, or never if negative.
+// SetKnown sets up to when all agreed purges are known: ago ms before now, or never if negative. While an update waits in
+// the core's inbox, what was known before stays, as the core does not go by the update yet.
 func (c coreProxy) SetKnown(ago float64) {
-	if at := c.poster.now() - ago; ago >= 0 {
-		c.knownUntil.set(at)
-	} else {
-		c.knownUntil.set(math.Inf(-1))
+	switch k := c.knownUntil; {
+	case ago < 0:
+		k.set(math.Inf(-1))
+	case k.applied.Load() == k.posted.Load():
+		k.set(c.poster.now() - ago)
 	}
 }
--- a/internal/gateway/purge_bounds_test.go
+++ b/internal/gateway/purge_bounds_test.go
@@ -142,3 +142,27 @@
 		t.Error("answered by a copy from before the purge")
 	}
 }
+
+// Guards against copies from before a purge that the log has delivered and the core has not applied yet: while an update
+// waits in the core's inbox, as after a restart or behind a long queue, the view does not count as known.
+func TestViewIsKnownOnceApplied(t *testing.T) {
+	h := newHarness(t)
+	p := &poster{inbox: make(chan any, 4), now: func() float64 { return h.now }}
+	proxy := coreProxy{poster: p, knownUntil: &knownUntil{}}
+	proxy.SetKnown(-1)
+	h.core.EnablePurges("amber", purges.DefaultLimits(), true, proxy.knownUntil.at, p.now)
+	purged := h.now + 1000
+	proxy.ApplyPurges(purges.Update{Marks: []purges.Mark{{Object: "a", At: purged}}, Index: 3}, func(uint64) {})
+	proxy.SetKnown(10)
+	if at := proxy.knownUntil.at(); !math.IsInf(at, -1) {
+		t.Errorf("known until %v with an update in the inbox", at)
+	}
+	h.core.Handle(<-p.inbox)
+	proxy.SetKnown(10)
+	if at := proxy.knownUntil.at(); at != h.now-10 {
+		t.Errorf("known until %v after the update, want %v", at, h.now-10)
+	}
+	if oldest := h.core.purges.oldestAllowed(&download{object: "a"}, 0); oldest != purged {
+		t.Errorf("copies from %v on are allowed, want %v", oldest, purged)
+	}
+}
--- a/internal/purges/driver/service.go
+++ b/internal/purges/driver/service.go
@@ -37,8 +37,8 @@
 type Core interface {
 	// ApplyPurges makes the core apply an update; done is called once, from the loop of the core, when it does.
 	ApplyPurges(update purges.Update, done func(index uint64))
-	// SetKnown reports that all entries committed up to ago ms before now are known; a negative value means that this is
-	// not known.
+	// SetKnown reports that the updates passed so far hold all entries committed up to ago ms before now; a negative value
+	// means that this is not known. The core takes it over once it has applied these updates.
 	SetKnown(ago float64)
 }
 
@@ -121,14 +121,16 @@
 // Handle processes an event of the replica or of the core.
 func (s *Service) Handle(now float64, e any) {
 	s.now = now
-	if s.block.On {
+	if event, ok := e.(quorumdriver.LogAdvanced); ok {
+		s.followed = event
+		s.updateCore(event.Restored)
+		s.logStages()
+	}
+	if s.block.On { // after the update, as it belongs to what is known
 		s.core.SetKnown(s.replica.ViewAge())
 	}
 	switch event := e.(type) {
 	case quorumdriver.LogAdvanced:
-		s.followed = event
-		s.updateCore(event.Restored)
-		s.logStages()
 	case Misses:
 		s.misses = event.Rate
 	case marksApplied:
