Purges: a copy made after the acceptance answers before the skew is over

What callers saw: right after a purge all requests for its objects were turned away with 503 for as long as `skew` (half a second by default), although the core had given out new copies.

Cause: a purge asks for copies created after its acceptance and the skew. Until that moment is past no copy can be that new, not even one created for the request, so each pull failed, and the pulls after it.

A copy from before the acceptance never counts.

--- a/internal/gateway/purge_bounds.go
+++ b/internal/gateway/purge_bounds.go
@@ -38,11 +38,7 @@
 // EnablePurges makes the core apply the purges that the gateways agree on. If enabled, copies older than the delay count as
 // purged while the core does not know what has been agreed since.
 func (g *Core) EnablePurges(club string, limits purges.Limits, enabled bool, knownUntil, now func() float64) {
-	g.purges = &purgeBounds{view: purges.View{Bounds: purges.NewBoundSet(limits.MaxBounds), Club: club, Skew: limits.Skew},
-		now: now, knownUntil: knownUntil}
-	if enabled {
-		g.purges.view.Delay = limits.Delay
-	}
+	g.purges = &purgeBounds{view: purges.NewView(club, limits, enabled), now: now, knownUntil: knownUntil}
 	g.pool.OldestAllowed = func(q *caches.Pull) float64 {
 		p, _ := q.Owner.(*pull)
 		if p == nil {
--- a/internal/purges/view.go
+++ b/internal/purges/view.go
@@ -9,6 +9,32 @@
 	Delay       float64 // ms within which purges take effect at gateways that cannot receive them; 0: this gateway does not take part
 	Skew        float64
 	StaleChecks int // number of checks made without up-to-date knowledge of the log
+
+	skewWindow float64
+}
+
+// NewView returns the view of a gateway that knows of no purge yet. A gateway that does not take part trusts older copies
+// while it cannot reach the log.
+func NewView(club string, limits Limits, takesPart bool) View {
+	v := View{Bounds: NewBoundSet(limits.MaxBounds), Club: club, Skew: limits.Skew, skewWindow: limits.skewWindow()}
+	if takesPart {
+		v.Delay = limits.Delay
+	}
+	return v
+}
+
+// skewWindow is the time, in ms, after the acceptance of a purge during which copies created since then count as new even
+// if their creation time is within the skew. A copy that is created at once could not answer otherwise. It allows for a
+// clock that is behind and for the response of a slow fill, and ends in time for the delay, also if a newer purge of the
+// same object begins another window before the bound of this one is passed.
+func (l *Limits) skewWindow() float64 { return min(2*l.Skew+l.Delay/4, blindAfter*l.Delay-l.Skew) }
+
+// adjustForSkew returns the bound that applies at time now.
+func (v *View) adjustForSkew(bound, now float64) float64 {
+	if accepted := bound - v.Skew; now < accepted+v.skewWindow {
+		return accepted
+	}
+	return bound
 }
 
 // blindAfter is the fraction of the delay after which a gateway that cannot reach the log treats older copies as
@@ -34,7 +60,7 @@
 func (v *View) MinCreated(now, known float64, object string, group int64, first bool) float64 {
 	hard, soft := v.Bounds.Bound(v.Club, object, group)
 	lateHard, lateSoft := v.Schedule.Bound(now, v.Club, object)
-	hard, soft = max(hard, lateHard), max(soft, lateSoft)
+	hard, soft = v.adjustForSkew(max(hard, lateHard), now), v.adjustForSkew(max(soft, lateSoft), now)
 	if v.Delay > 0 && now-known > blindAfter*v.Delay {
 		// An unknown purge that must already be in effect was accepted at least this long ago, so copies created later
 		// are not affected by it.
