Purges: a purge of tags or a pattern does not state a time behind others

What callers saw: with a rate, a purge by tag accepted while objects of another purge were still to go out stated a time that counted all of these in, though it takes effect at once: with three objects left at one a second, 2.5 s too late. Found by reading.

Cause: the start of every purge was set behind the schedules of the purges before it, and the stated time follows from the start; only batches wait.

Change: the start of a purge without objects is its acceptance. TestTagPurgeDoesNotWaitItsTurn fails before (8000 in place of 5500).

--- a/internal/purges/schedule_test.go
+++ b/internal/purges/schedule_test.go
@@ -182,3 +182,15 @@
 		})
 	}
 }
+
+// Guards against a time that is stated later than need be: a purge of a tag is published at its acceptance and does not
+// wait for the objects of purges before it, as a purge of objects does.
+func TestTagPurgeDoesNotWaitItsTurn(t *testing.T) {
+	b, l := New(), Limits{Delay: 4000, Rate: 1, Batch: 1, MaxBounds: 100}
+	b.applyOrder(1, Accept, CommandData{At: 1000, Purge: &Purge{ID: "objects", Objects: []string{"a", "b", "c"}}, Limits: &l})
+	tag := b.applyOrder(2, Accept, CommandData{At: 1500, Purge: &Purge{ID: "tag", Groups: []int64{7}}, Limits: &l}).(State)
+	next := b.applyOrder(3, Accept, CommandData{At: 1500, Purge: &Purge{ID: "next", Objects: []string{"d"}}, Limits: &l}).(State)
+	if tag.Effective() != 5500 || next.Effective() != 9000 {
+		t.Errorf("effective by %v and %v, want 5500 and 9000", tag.Effective(), next.Effective())
+	}
+}
--- a/internal/purges/statemachine.go
+++ b/internal/purges/statemachine.go
@@ -214,14 +214,9 @@
 			b.publish(index, s, Mark{Group: g, Grouped: true})
 		}
 	}
-	if s.Start = b.Now; s.Limits.Rate == 0 {
+	s.Start = b.startOf(s)
+	if s.Limits.Rate == 0 {
 		b.publishObjects(index, s, len(s.Purge.Objects))
-	} else {
-		for _, x := range b.Purges {
-			if x.Stage == Publishing && x != s {
-				s.Start = max(s.Start, x.dueAt(len(x.Purge.Objects)))
-			}
-		}
 	}
 	b.evictFinished()
 	return s, nil
--- a/internal/purges/timing.go
+++ b/internal/purges/timing.go
@@ -17,6 +17,21 @@
 // batches are looked for do not slow them down.
 const paceTolerance = 100.0
 
+// startOf returns when the first object of a purge is due. All purges with a rate share it, in the order of the log; those
+// without objects are published at once and wait for none.
+func (b *StateMachine) startOf(s *State) float64 {
+	start := s.Accepted
+	if s.Limits.Rate == 0 || len(s.Purge.Objects) == 0 {
+		return start
+	}
+	for _, x := range b.Purges {
+		if x.Stage == Publishing && x.LogIndex < s.LogIndex {
+			start = max(start, x.dueAt(len(x.Purge.Objects)))
+		}
+	}
+	return start
+}
+
 // dueAt returns when the object with this index is to be published.
 func (s *State) dueAt(object int) float64 {
 	if s.Limits.Rate == 0 {
