Purges: the acceptance is the agreement, not the moment the command was issued

What callers saw: a purge whose command was agreed late stated a time that was past, or nearly so. A gateway that missed it could go on with older copies for three quarters of the delay from its last look at the log, past the time stated.

Cause: the acceptance was the time that the command carries. A command is repeated for 15 s, and may be agreed even later.

Change: `purge` asks for times that are provisional until a gateway that has seen the purge accepted says when that was (command begin, by the leader, by others after an eighth of the delay). Only then is a time stated and do batches go out; bounds rise with it. Until then gateways go by the provisional times, which are earlier. It costs one agreement more. Purges from before, and those of an older command line, keep the times they stated.

--- a/cmd/poppymill/purge.go
+++ b/cmd/poppymill/purge.go
@@ -97,7 +97,10 @@
 	if err := p.Check(); err != nil {
 		return usageError(fmt.Errorf("purge %s: %w", cmd.Name, err))
 	}
-	if err := submitPurgeCommand(ctx, cmd, purges.Accept, purges.CommandData{Purge: &p}); err != nil {
+	if err := submitPurgeCommand(ctx, cmd, purges.Accept, purges.CommandData{Purge: &p, AwaitBegin: true}); err != nil {
+		return err
+	}
+	if err := waitForBegin(ctx, cmd, p.ID); err != nil {
 		return err
 	}
 	for {
@@ -124,6 +127,34 @@
 	}
 }
 
+// beginCheckInterval is the time between checks whether the time of a purge is fixed.
+const beginCheckInterval = 20 * time.Millisecond
+
+// waitForBegin waits until the time by which an accepted purge is effective is fixed.
+func waitForBegin(ctx context.Context, cmd *cli.Command, id string) error {
+	ctx, cancel := context.WithTimeout(ctx, cmd.Duration("within"))
+	defer cancel()
+	for {
+		x, err := queryPurge(ctx, cmd, id)
+		if err != nil || !x.Provisional || x.Stage == purges.Cancelled.String() {
+			return err
+		}
+		select {
+		case <-time.After(beginCheckInterval):
+		case <-ctx.Done():
+			return cli.Exit(fmt.Sprintf("purge %s: %s: accepted, but the time by which it is effective is not agreed yet: check with purge status", cmd.Name, cmd.Args().First()), 1)
+		}
+	}
+}
+
+// formatEffective formats the time by which a purge is effective.
+func formatEffective(x purgesdriver.PurgeReport) string {
+	if x.Effective == 0 {
+		return "a time that is not agreed yet"
+	}
+	return formatTime(x.Effective)
+}
+
 // queryPurge queries one purge by its id.
 func queryPurge(ctx context.Context, cmd *cli.Command, id string) (x purgesdriver.PurgeReport, err error) {
 	ctx, cancel := context.WithTimeout(ctx, cmd.Duration("within"))
@@ -146,7 +177,7 @@
 	if cmd.Bool("json") {
 		return printJSON(x)
 	}
-	fmt.Printf("purge %s: %s; accepted %s, position %d, effective by %s\n", x.Purge.ID, x.Stage, formatTime(x.Accepted), x.LogIndex, formatTime(x.Effective))
+	fmt.Printf("purge %s: %s; accepted %s, position %d, effective by %s\n", x.Purge.ID, x.Stage, formatTime(x.Accepted), x.LogIndex, formatEffective(x))
 	if n := len(x.Purge.Objects); n > 0 {
 		fmt.Printf("%d of %d objects sent, %d of them already covered by a newer purge\n", x.Published, n, x.Superseded)
 	}
@@ -170,7 +201,7 @@
 	if err := printPurge(cmd, x); err != nil {
 		return err
 	}
-	if len(x.Unconfirmed) > 0 && float64(time.Now().UnixMilli()) > x.Effective {
+	if len(x.Unconfirmed) > 0 && !x.Provisional && float64(time.Now().UnixMilli()) > x.Effective {
 		return cli.Exit("", 1)
 	}
 	return nil
@@ -241,7 +272,7 @@
 	t := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
 	fmt.Fprintf(t, "%s; %d bounds remembered\nPURGE\tIS\tPLACE\tACCEPTED\tEFFECTIVE BY\tCLUB\tSENT\tWAITS FOR\n", viewHeader(r), reply.Held)
 	for _, x := range reply.Purges {
-		fmt.Fprintf(t, "%s\t%s\t%d\t%s\t%s\t%s\t%d\t%s\n", x.Purge.ID, x.Stage, x.LogIndex, formatTime(x.Accepted), formatTime(x.Effective), orDash(x.Purge.Club), x.Published, orDash(strings.Join(x.Unconfirmed, ", ")))
+		fmt.Fprintf(t, "%s\t%s\t%d\t%s\t%s\t%s\t%d\t%s\n", x.Purge.ID, x.Stage, x.LogIndex, formatTime(x.Accepted), formatEffective(x), orDash(x.Purge.Club), x.Published, orDash(strings.Join(x.Unconfirmed, ", ")))
 	}
 	return t.Flush()
 }
--- a/internal/purges/driver/service.go
+++ b/internal/purges/driver/service.go
@@ -179,12 +179,26 @@
 			s.propose(purges.Tick, "", purges.CommandData{At: unixMillis()})
 		}
 	}
+	s.proposeBegin()
 	token, owns := s.runner.Owns(BatchJob)
 	for _, o := range s.batches.Due(s.stateMachine, unixMillis(), token, owns, s.followed.Leads) {
 		s.proposeBatch(o)
 	}
 }
 
+// proposeBegin fixes the times of purges that were just accepted. The leader does so at once; others only if a purge is
+// still provisional after an eighth of the delay, as when the leader's file lacks the block.
+func (s *Service) proposeBegin() {
+	now := unixMillis()
+	before := now - s.block.Limits.Delay/8
+	if s.followed.Leads {
+		before = math.Inf(1)
+	}
+	for _, id := range s.stateMachine.Provisional(before) {
+		s.propose(purges.Begin, id, purges.CommandData{At: now, ID: id})
+	}
+}
+
 // proposeBatch proposes a batch. The replica repeats it until its outcome is known.
 func (s *Service) proposeBatch(o purges.CommandData) {
 	command := quorum.Command{StateMachine: StateMachineName, Kind: purges.Batch, Data: codec.Encode(o)}
@@ -251,13 +265,16 @@
 type PurgeReport struct {
 	purges.State
 	Stage       string   `json:"stage"`
-	Effective   float64  `json:"effective"`       // time after which no older copy is served, Unix ms
+	Effective   float64  `json:"effective"`       // time after which no older copy is served, Unix ms; 0: not fixed yet
 	Unconfirmed []string `json:"waits,omitempty"` // gateways that have not confirmed it
 }
 
 // describe returns the report of a purge.
 func (s *Service) describe(x *purges.State) PurgeReport {
-	p := PurgeReport{State: *x, Stage: x.Stage.String(), Effective: x.Effective()}
+	p := PurgeReport{State: *x, Stage: x.Stage.String()}
+	if !x.Provisional {
+		p.Effective = x.Effective()
+	}
 	if x.Stage <= purges.Sent {
 		p.Unconfirmed = s.stateMachine.Unconfirmed(x)
 	}
--- a/internal/purges/purges.go
+++ b/internal/purges/purges.go
@@ -51,7 +51,8 @@
 
 // Kinds of log commands. Each carries a CommandData; the fields that the kind uses are listed.
 const (
-	Accept       = "accept" // purge, limits
+	Accept       = "accept" // purge, limits, await_begin
+	Begin        = "begin"  // id: fixes the acceptance time of a purge; proposed by a gateway that saw it accepted
 	Batch        = "batch"  // id, first, next, token: publishes the objects first to next-1 of a purge
 	Cancel       = "cancel" // id
 	ReportMisses = "misses" // from, rate: fills per second that a gateway requested on edge cache misses
@@ -71,6 +72,8 @@
 	From   string  `cbor:"8,keyasint,omitempty"`
 	Index  uint64  `cbor:"9,keyasint,omitempty"`
 	Rate   float64 `cbor:"10,keyasint,omitempty"`
+	// AwaitBegin makes the times of a purge provisional until Begin: a command may be agreed long after it was issued.
+	AwaitBegin bool `cbor:"11,keyasint,omitempty"`
 }
 
 // Mark is one published bound, as passed to a gateway's core.
--- a/internal/purges/schedule_test.go
+++ b/internal/purges/schedule_test.go
@@ -194,3 +194,38 @@
 		t.Errorf("effective by %v and %v, want 5500 and 9000", tag.Effective(), next.Effective())
 	}
 }
+
+// Guards against a time that is past when it is stated, as the command was issued long before it was agreed: the times of
+// such a purge are provisional until a gateway that saw it accepted begins it. No batch goes out before, the bounds of
+// what is published rise with the acceptance, and a second begin changes nothing.
+func TestLatePurgeBeginsOnceAgreed(t *testing.T) {
+	b, v, l := New(), NewView("", DefaultLimits(), true), Limits{Delay: 4000, Skew: 100, Rate: 10, Batch: 1, MaxBounds: 100}
+	b.Member("g1", 1, true)
+	accept := func(index uint64, p Purge) {
+		b.applyOrder(index, Accept, CommandData{At: 1000, Purge: &p, Limits: &l, AwaitBegin: true})
+	}
+	accept(1, Purge{ID: "tag", Groups: []int64{7}})
+	accept(2, Purge{ID: "objects", Objects: []string{"a", "b"}})
+	v.Apply(b.TakeUpdate(false))
+	b.applyOrder(3, Confirm, CommandData{At: 8500, From: "g1", Index: 3})
+	if _, due, _ := b.NextBatch(9000); due || b.Purges["tag"].Stage != Sent || len(b.Provisional(9000)) != 2 {
+		t.Errorf("batch due %t, tag %v, provisional %v", due, b.Purges["tag"].Stage, b.Provisional(9000))
+	}
+	b.applyOrder(4, Begin, CommandData{At: 9000, ID: "tag"})
+	b.applyOrder(5, Begin, CommandData{At: 9000, ID: "objects"})
+	b.applyOrder(6, Begin, CommandData{At: 9500, ID: "objects"})
+	v.Apply(b.TakeUpdate(false))
+	tag, objects := b.Purges["tag"], b.Purges["objects"]
+	if tag.Effective() != 13_000 || objects.Effective() != 13_200 || len(b.Provisional(1e9)) != 0 || len(b.Unconfirmed(tag)) != 1 {
+		t.Errorf("tag %+v, objects %+v", tag, objects)
+	}
+	if group, _ := v.Bounds.Bound("", "x", 7); group != 9100 {
+		t.Errorf("bound of the tag: %v, want 9100", group)
+	}
+	if early, _ := v.Schedule.Bound(10_999, "", "a"); early != 0 {
+		t.Errorf("bound before it is in force: %v", early)
+	}
+	if late, _ := v.Schedule.Bound(11_000, "", "a"); late != 9100 {
+		t.Errorf("bound once in force: %v, want 9100", late)
+	}
+}
--- a/internal/purges/statemachine.go
+++ b/internal/purges/statemachine.go
@@ -41,6 +41,9 @@
 	Missing    []string `cbor:"10,keyasint" json:"without,omitempty"` // lost gateways that never confirmed it and no longer trust older copies
 	Ended      float64  `cbor:"11,keyasint" json:"ended,omitempty"`
 	Start      float64  `cbor:"12,keyasint" json:"start"` // earliest time to publish its first object; all purges share one rate
+	// Provisional: its times are those of the command's sender and may be long past. They hold until Begin, but are not
+	// stated and no batch goes out by them.
+	Provisional bool `cbor:"13,keyasint,omitempty" json:"provisional,omitempty"`
 }
 
 // Gateway is the state of one gateway as a member of the quorum.
@@ -152,6 +155,8 @@
 	switch kind {
 	case Accept:
 		s, err = b.applyAccept(index, o)
+	case Begin:
+		s, err = b.applyBegin(index, o)
 	case Batch:
 		s, err = b.applyBatch(index, o)
 	case Cancel:
@@ -204,16 +209,10 @@
 		return nil, ErrFull
 	}
 	b.Bounds.Limit = o.Limits.MaxBounds
-	s := &State{Purge: *o.Purge, Limits: *o.Limits, LogIndex: index, Accepted: b.Now}
+	s := &State{Purge: *o.Purge, Limits: *o.Limits, LogIndex: index, Accepted: b.Now, Provisional: o.AwaitBegin}
 	b.Purges[s.Purge.ID] = s
 	b.markProgress(s)
-	if p := &s.Purge; p.Pattern != "" {
-		b.publish(index, s, Mark{Pattern: p.Pattern})
-	} else if len(p.Groups) > 0 {
-		for _, g := range p.Groups {
-			b.publish(index, s, Mark{Group: g, Grouped: true})
-		}
-	}
+	b.publishGroups(index, s)
 	s.Start = b.startOf(s)
 	if s.Limits.Rate == 0 {
 		b.publishObjects(index, s, len(s.Purge.Objects))
@@ -222,6 +221,37 @@
 	return s, nil
 }
 
+// applyBegin fixes the acceptance time of a purge. Its sender had seen the purge accepted, so gateways that do not know of
+// it by that time have lost the log, and stop trusting older copies in time. What is published already is published anew,
+// as its bound rises with the acceptance time.
+func (b *StateMachine) applyBegin(index uint64, o CommandData) (*State, error) {
+	s := b.Purges[o.ID]
+	switch {
+	case s == nil:
+		return nil, ErrUnknown
+	case !s.Provisional || s.Stage == Cancelled:
+		return s, nil
+	}
+	s.Provisional, s.Accepted = false, b.Now
+	s.Start = b.startOf(s)
+	b.markProgress(s)
+	b.publishGroups(index, s)
+	for _, object := range s.Purge.Objects[:s.Published] {
+		b.publish(index, s, Mark{Object: object})
+	}
+	return s, nil
+}
+
+// publishGroups publishes the groups or the pattern of a purge.
+func (b *StateMachine) publishGroups(index uint64, s *State) {
+	if s.Purge.Pattern != "" {
+		b.publish(index, s, Mark{Pattern: s.Purge.Pattern})
+	}
+	for _, g := range s.Purge.Groups {
+		b.publish(index, s, Mark{Group: g, Grouped: true})
+	}
+}
+
 // countNames returns the number of objects and groups that the purge names.
 func (p *Purge) countNames() int { return len(p.Objects) + len(p.Groups) }
 
@@ -294,7 +324,7 @@
 		if s.Stage == Publishing && s.Published == len(s.Purge.Objects) {
 			s.Stage = Sent
 		}
-		if s.Stage != Sent || len(b.Unconfirmed(s)) > 0 {
+		if s.Stage != Sent || s.Provisional || len(b.Unconfirmed(s)) > 0 {
 			continue
 		}
 		s.Stage, s.Ended = Done, b.Now
@@ -348,6 +378,17 @@
 	}
 }
 
+// Provisional returns the ids of the purges whose times are not fixed and were accepted before a time, sorted.
+func (b *StateMachine) Provisional(before float64) (ids []string) {
+	for id, s := range b.Purges {
+		if s.Provisional && s.Stage != Cancelled && s.Accepted < before {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
 // All returns the purges in log order.
 func (b *StateMachine) All() []*State {
 	return slices.SortedFunc(maps.Values(b.Purges), byLogIndex)
--- a/internal/purges/timing.go
+++ b/internal/purges/timing.go
@@ -52,7 +52,8 @@
 // inForceAt returns when every gateway that knows of the purge applies it to the object, published or not.
 func (s *State) inForceAt(object int) float64 { return s.dueAt(object) + inForceAfter*s.Limits.Delay }
 
-// Effective returns the time from which no older copy is served anywhere. It is known on acceptance.
+// Effective returns the time from which no older copy is served anywhere. It is known on acceptance, and fixed once the
+// purge is not provisional.
 func (s *State) Effective() float64 { return s.dueAt(len(s.Purge.Objects)) + s.Limits.Delay }
 
 // pacedAfter returns when the rate allows another batch after the objects first to next-1 were sent. Objects that are in
@@ -96,7 +97,7 @@
 // exceeded.
 func (b *StateMachine) batchDue(s *State, o CommandData, now, pacedUntil float64) bool {
 	switch l := s.Limits; {
-	case now < s.dueAt(o.First):
+	case s.Provisional || now < s.dueAt(o.First):
 		return false
 	case l.MaxFills > 0 && !s.overdue(o.First, now) && b.totalMisses() > l.MaxFills:
 		return false
--- a/internal/rehearsal/sockets/control.go
+++ b/internal/rehearsal/sockets/control.go
@@ -100,17 +100,17 @@
 	}
 }
 
-// startPurge submits a purge to one gateway after another until one confirms that it was accepted, and reports as facts what
-// has to hold from then on.
+// startPurge submits a purge to one gateway after another until one confirms that it was accepted and by when it is
+// effective, and reports as facts what has to hold from then on.
 func (s *Stage) startPurge(a world.SubmitPurge) {
 	p, accepted := purges.Purge{ID: a.ID, Objects: a.Objects, Groups: a.Groups}, purgesdriver.PurgeReport{}
-	for i := 0; s.ctx.Err() == nil && accepted.Purge.ID == ""; i++ {
+	for i := 0; s.ctx.Err() == nil && (accepted.Purge.ID == "" || accepted.Provisional); i++ {
 		gateway := i % len(s.gateways)
 		var limits purges.Limits
 		if r, err := s.Call(gateway, quorumdriver.Query{Subject: "purge limits"}, time.Second); err == nil && r.Error == "" && json.Unmarshal(r.Body, &limits) == nil {
-			order := purges.CommandData{At: float64(time.Now().UnixMilli()), Purge: &p, Limits: &limits}
+			order := purges.CommandData{At: float64(time.Now().UnixMilli()), Purge: &p, Limits: &limits, AwaitBegin: true}
 			command := &quorum.Command{StateMachine: purgesdriver.StateMachineName, Kind: purges.Accept, Data: codec.Encode(order)}
-			if r, err := s.Call(gateway, quorumdriver.Query{Command: command, Subject: "purge", Name: a.ID}, 2*time.Second); err == nil && r.Error == "" && json.Unmarshal(r.Body, &accepted) == nil {
+			if r, err := s.Call(gateway, quorumdriver.Query{Command: command, Subject: "purge", Name: a.ID}, 2*time.Second); err == nil && r.Error == "" && json.Unmarshal(r.Body, &accepted) == nil && !accepted.Provisional {
 				break
 			}
 		}
@@ -119,7 +119,7 @@
 		case <-s.ctx.Done():
 		}
 	}
-	if accepted.Purge.ID == "" || s.Facts == nil {
+	if accepted.Purge.ID == "" || accepted.Provisional || s.Facts == nil {
 		return
 	}
 	epoch := float64(s.start.UnixMicro()) / 1000
--- a/internal/rehearsal/sockets/purges_test.go
+++ b/internal/rehearsal/sockets/purges_test.go
@@ -108,11 +108,15 @@
 func (pc *purgeCluster) acceptPurge(p purges.Purge, at int) purgesdriver.PurgeReport {
 	pc.t.Helper()
 	pc.waitFor("the purge "+p.ID+" is accepted", func() bool {
-		o := purges.CommandData{At: float64(time.Now().UnixMilli()), Purge: &p, Limits: &pc.limits}
+		o := purges.CommandData{At: float64(time.Now().UnixMilli()), Purge: &p, Limits: &pc.limits, AwaitBegin: true}
 		r, err := pc.stage.Call(at, quorumdriver.Query{Command: &quorum.Command{StateMachine: purgesdriver.StateMachineName, Kind: purges.Accept, Data: codec.Encode(o)}}, 2*time.Second)
 		return err == nil && r.Error == ""
 	})
-	x := pc.purgeStatus(p.ID, at)
+	var x purgesdriver.PurgeReport
+	pc.waitFor("the time of "+p.ID+" is fixed", func() bool {
+		x = pc.purgeStatus(p.ID, at)
+		return x.Effective > 0
+	})
 	pc.stage.Do(func(*world.World) {
 		f := world.PurgeAgreed{Group: -1, Club: p.Club, When: x.Accepted - pc.epoch(), Deadline: x.Effective - pc.epoch()}
 		for _, f.Object = range p.Objects {
@@ -212,6 +216,26 @@
 	})
 }
 
+// Guards against a time that is past when it is stated: a purge is submitted while most gateways are frozen, and agreed only when
+// they resume, long after its delay. Its acceptance is the agreement, so that also those that miss it have the delay.
+func TestPurgeAgreedLateStatesTimeAhead(t *testing.T) {
+	runPurgeCluster(t, nil, purges.Limits{Delay: 2500, Skew: 100, Batch: 500, MaxBounds: 1000}, func(pc *purgeCluster) {
+		pc.waitFor("clients have requested enough objects", func() bool { return len(pc.requestedObjects(3)) >= 15 })
+		for _, name := range pc.names[:3] {
+			pc.inject(script.Event{Kind: "freeze", Name: name, Duration: 4000})
+		}
+		submitted := float64(time.Now().UnixMilli())
+		x := pc.acceptPurge(purges.Purge{ID: "class-7", Objects: pc.requestedObjects(1)}, 4)
+		if after := x.Accepted - submitted; after < 3000 || x.Effective != x.Accepted+pc.limits.Delay {
+			t.Errorf("accepted %.0f ms after the command, effective %.0f ms after that", after, x.Effective-x.Accepted)
+		}
+		by := x.Effective - pc.epoch()
+		pc.waitFor("clients get answers after the stated time", func() bool {
+			return pc.countResponses(func(a response) bool { return a.at > by+200 }) >= 60
+		})
+	})
+}
+
 // A purge in paced batches continues at its first open batch while its owner is frozen and resumes late, a gateway restarts
 // without its disk, and then all are killed at once: no batch is skipped or sent twice. A newer purge of some of the same objects
 // covers those of the older one; a purge that is cancelled half way reports how far it got; reusing an ID with other content is
