Purges: a gateway counts as lost from the loss on, not from the last purge

What operators saw: a purge could be `done` at once with "not confirmed by g7: lost, and without news of purges since", though g7 had been lost a moment ago and could still answer from older copies for three quarters of the delay. Found by reading.

Cause: a loss is dated by the log's time, which only purges advance. After an hour without one a fresh loss was dated an hour back.

Change: a membership change while no purge is open is dated by the next command. TestLossIsDatedByNextCommand fails before (done at once).

--- a/internal/purges/schedule_test.go
+++ b/internal/purges/schedule_test.go
@@ -229,3 +229,20 @@
 		t.Errorf("bound once in force: %v, want 9100", late)
 	}
 }
+
+// Guards against a gateway that counts as long lost because the time of the log stood still when it was: no purge was open
+// for an hour, and it is lost just before the next one. That is not done until the delay has passed since.
+func TestLossIsDatedByNextCommand(t *testing.T) {
+	const hour = 3.6e6
+	b, l := New(), Limits{Delay: 4000, Skew: 100, Batch: 1, MaxBounds: 100}
+	b.applyOrder(1, Tick, CommandData{At: 1000})
+	b.Member("g1", 1, true)
+	b.Member("g1", 1, false)
+	s := b.applyOrder(2, Accept, CommandData{At: hour, Purge: &Purge{ID: "p", Objects: []string{"a"}}, Limits: &l}).(State)
+	if s.Stage != Sent || b.Gateways["g1"].Since != hour {
+		t.Errorf("%v while a gateway just lost may serve older copies; lost at %v", s.Stage, b.Gateways["g1"].Since)
+	}
+	if b.applyOrder(3, Tick, CommandData{At: hour + l.Delay}); b.Purges["p"].Stage != Done {
+		t.Errorf("%v after the delay", b.Purges["p"].Stage)
+	}
+}
--- a/internal/purges/statemachine.go
+++ b/internal/purges/statemachine.go
@@ -50,10 +50,11 @@
 type Gateway struct {
 	Incarnation uint64  `cbor:"1,keyasint"`
 	Joined      bool    `cbor:"2,keyasint"`
-	Since       float64 `cbor:"3,keyasint"` // log time of the last membership change
-	Confirmed   uint64  `cbor:"4,keyasint"` // log index up to which it has confirmed applying all marks
-	Misses      float64 `cbor:"5,keyasint"` // fills per second that it requested on edge cache misses
-	MissesAt    float64 `cbor:"6,keyasint"` // log time of that report
+	Since       float64 `cbor:"3,keyasint"`           // log time of the last membership change
+	Confirmed   uint64  `cbor:"4,keyasint"`           // log index up to which it has confirmed applying all marks
+	Misses      float64 `cbor:"5,keyasint"`           // fills per second that it requested on edge cache misses
+	MissesAt    float64 `cbor:"6,keyasint"`           // log time of that report
+	Undated     bool    `cbor:"7,keyasint,omitempty"` // Since is older than the change, and follows with the next command
 }
 
 // Limits on the size of the state.
@@ -136,7 +137,8 @@
 		if old.Incarnation != incarnation {
 			old.Confirmed = 0
 		}
-		b.Gateways[name] = Gateway{Incarnation: incarnation, Joined: joined, Since: b.Now, Confirmed: old.Confirmed, Misses: old.Misses, MissesAt: old.MissesAt}
+		b.Gateways[name] = Gateway{Incarnation: incarnation, Joined: joined, Since: b.Now, Confirmed: old.Confirmed, Misses: old.Misses, MissesAt: old.MissesAt,
+			Undated: !b.AnyOpen()} // the time of the log stands still while no purge is open
 	}
 	b.advanceStages()
 }
@@ -149,6 +151,7 @@
 		return ErrMalformed
 	}
 	b.Now = max(b.Now, o.At)
+	b.dateMembers()
 	b.changes++
 	var s *State
 	var err error
@@ -187,6 +190,16 @@
 	return c
 }
 
+// dateMembers dates membership changes that were applied while the time of the log stood still.
+func (b *StateMachine) dateMembers() {
+	for name, g := range b.Gateways {
+		if g.Undated {
+			g.Since, g.Undated = b.Now, false
+			b.Gateways[name] = g
+		}
+	}
+}
+
 // applyAccept starts a purge. Patterns and groups are published at once, and objects too if there is no rate.
 func (b *StateMachine) applyAccept(index uint64, o CommandData) (*State, error) {
 	if o.Purge == nil || o.Limits == nil || o.Purge.Check() != nil || o.Limits.Check() != nil {
