Machines: the grace of a lost gateway counts from its loss

Only the first request after a quiet time was hit. Found by reading, not seen on processes.

Change: a membership change while no request is open is dated by the next command. TestLossBeforeFirstRequestIsWaitedFor fails before (waits for none).

--- a/internal/maintenance/maintenance_test.go
+++ b/internal/maintenance/maintenance_test.go
@@ -379,6 +379,26 @@
 	}
 }
 
+// Guards against a machine that leaves while requests of a gateway lost a moment ago may still be on their way: the time of the
+// log stood still until the request for that machine, and the loss was dated by it.
+func TestLossBeforeFirstRequestIsWaitedFor(t *testing.T) {
+	b := newTestState(t, Limits{MaxMachines: 1, DrainTimeout: 5000, Grace: 100})
+	for _, g := range []string{"g1birch", "g2birch", "g1amber", "g2amber"} {
+		b.SetGateway(g, b.Gateways[g].Incarnation, false)
+	}
+	b.Inventory.Limits.MaxMachines = 0 // losses count towards the limits, which another test covers
+	b.apply(t, Submit, CommandData{At: 60_000, Request: &Request{ID: "r", Machine: "amber-2", Duration: 100}})
+	b.apply(t, Tick, CommandData{At: 60_050})
+	w, m := &Window{}, b.Machine("amber-2")
+	if names := b.PendingAcks(w, m); len(names) != 4 {
+		t.Errorf("50 ms after the losses: waits for %v, want all four", names)
+	}
+	b.apply(t, Tick, CommandData{At: 60_100})
+	if names := b.PendingAcks(w, m); len(names) != 0 {
+		t.Errorf("after the grace: waits for %v", names)
+	}
+}
+
 // Each limit refuses what it names. Losses count towards the same limits and revoke grants of machines that are not out yet. A machine
 // whose voters the quorum needs may not leave.
 func TestLimits(t *testing.T) {
--- a/internal/maintenance/state.go
+++ b/internal/maintenance/state.go
@@ -29,7 +29,8 @@
 type Gateway struct {
 	Incarnation uint64  `cbor:"1,keyasint"`
 	Live        bool    `cbor:"2,keyasint"`
-	Since       float64 `cbor:"3,keyasint"` // when the log last reported it live or lost, in the log's time
+	Since       float64 `cbor:"3,keyasint"`           // when the log last reported it live or lost, in the log's time
+	Undated     bool    `cbor:"4,keyasint,omitempty"` // Since is older than that, and follows with the next command
 }
 
 // Window is a machine's open request and the progress of its maintenance window.
@@ -92,11 +93,22 @@
 		}
 	}
 	if len(b.Gateways) < maxNames || b.Gateways[name].Incarnation != 0 {
-		b.Gateways[name] = Gateway{Incarnation: incarnation, Live: live, Since: b.Now}
+		undated := len(b.Windows) == 0 // the time of the log stands still while no request is open
+		b.Gateways[name] = Gateway{Incarnation: incarnation, Live: live, Since: b.Now, Undated: undated}
 	}
 	b.requeueAfterLoss()
 }
 
+// dateGateways dates membership changes that were applied while the time of the log stood still.
+func (b *State) dateGateways() {
+	for name, g := range b.Gateways {
+		if g.Undated {
+			g.Since, g.Undated = b.Now, false
+			b.Gateways[name] = g
+		}
+	}
+}
+
 // requeueAfterLoss revokes grants of machines that have not left yet while an outage limit is exceeded. Machines that are out stay out and
 // keep counting.
 func (b *State) requeueAfterLoss() {
@@ -158,6 +170,7 @@
 		return ErrMalformed
 	}
 	b.Now = max(b.Now, o.At)
+	b.dateGateways()
 	var err error
 	switch kind {
 	case Submit:
