--- a/internal/purges/driver/service.go
+++ b/internal/purges/driver/service.go
@@ -80,7 +80,7 @@
 
 // MemberChanged applies a membership change of the log.
 func (b logAdapter) MemberChanged(_ uint64, m quorum.Member) {
-	b.StateMachine.Member(m.Name, m.Incarnation, m.State == quorum.MemberJoined)
+	b.StateMachine.SetMember(m.Name, m.Incarnation, m.State == quorum.MemberJoined)
 }
 
 // EmptyStateMachines returns the state machine of purges alone, for reading a store.
--- a/internal/purges/purges_test.go
+++ b/internal/purges/purges_test.go
@@ -92,7 +92,7 @@
 			switch kind {
 			case "member":
 				incarnation++
-				b.Member(rapid.SampledFrom([]string{"g1", "g2"}).Draw(t, "gateway"), incarnation, rapid.Bool().Draw(t, "there"))
+				b.SetMember(rapid.SampledFrom([]string{"g1", "g2"}).Draw(t, "gateway"), incarnation, rapid.Bool().Draw(t, "there"))
 			case "restart":
 				restored := New()
 				if err := restored.Load(b.Save()); err != nil || !bytes.Equal(restored.Save(), b.Save()) {
@@ -203,7 +203,7 @@
 func TestStagesAndConfirmations(t *testing.T) {
 	b := New()
 	for i, g := range []string{"g1", "g2", "g3"} {
-		b.Member(g, uint64(i+1), true)
+		b.SetMember(g, uint64(i+1), true)
 	}
 	l := Limits{Delay: 5000, Skew: 100, Rate: 2, Batch: 2, MaxBounds: 100}
 	p := &Purge{ID: "p", Objects: []string{"a", "b", "c"}}
@@ -243,7 +243,7 @@
 	b.applyOrder(16, Confirm, CommandData{At: 2100, From: "g1", Index: 14})
 	b.applyOrder(17, Confirm, CommandData{At: 2100, From: "g1", Index: 15})
 	b.applyOrder(18, Confirm, CommandData{At: 2100, From: "g2", Index: 99}) // beyond the end of the log
-	b.Member("g2", 7, true)                                                 // restarted: nothing confirmed yet
+	b.SetMember("g2", 7, true)                                              // restarted: nothing confirmed yet
 	if x := b.Purges["p"]; !slices.Equal(b.Unconfirmed(x), []string{"g2", "g3"}) {
 		t.Errorf("unconfirmed: %v", b.Unconfirmed(x))
 	}
@@ -252,7 +252,7 @@
 		t.Errorf("joined gateways are not waited for past the delay: %v", b.Unconfirmed(x))
 	}
 	b.applyOrder(19, Confirm, CommandData{At: 9100, From: "g2", Index: 15})
-	b.Member("g3", 3, false)
+	b.SetMember("g3", 3, false)
 	b.applyOrder(20, Tick, CommandData{At: 14_000})
 	if x := b.Purges["p"]; x.Stage != Sent {
 		t.Errorf("done while a lost gateway may still serve older copies: %+v", x)
@@ -278,7 +278,7 @@
 func TestBatchesWaitForFills(t *testing.T) {
 	b := New()
 	for i, g := range []string{"g1", "g2", "g3"} {
-		b.Member(g, uint64(i+1), true)
+		b.SetMember(g, uint64(i+1), true)
 	}
 	l := Limits{Delay: 8000, Skew: 100, Rate: 10, Batch: 2, MaxBounds: 100, MaxFills: 50}
 	b.applyOrder(10, Accept, CommandData{At: 1000, Purge: &Purge{ID: "p", Objects: []string{"a", "b", "c", "d", "e"}}, Limits: &l})
@@ -298,11 +298,11 @@
 	if !due(3000) {
 		t.Error("waits past the delay")
 	}
-	b.Member("g1", 1, false)
+	b.SetMember("g1", 1, false)
 	if !due(1000) {
 		t.Error("counts the misses of a lost gateway")
 	}
-	b.Member("g1", 1, true)
+	b.SetMember("g1", 1, true)
 	b.applyOrder(14, Tick, CommandData{At: 6001})
 	if !due(1000) {
 		t.Error("counts an outdated report of misses")
--- a/internal/purges/schedule_test.go
+++ b/internal/purges/schedule_test.go
@@ -200,7 +200,7 @@
 // what is published rise with the acceptance, and a second begin changes nothing.
 func TestLatePurgeBeginsOnceAgreed(t *testing.T) {
 	b, v, l := New(), NewView("", DefaultLimits(), true), Limits{Delay: 4000, Skew: 100, Rate: 10, Batch: 1, MaxBounds: 100}
-	b.Member("g1", 1, true)
+	b.SetMember("g1", 1, true)
 	accept := func(index uint64, p Purge) {
 		b.applyOrder(index, Accept, CommandData{At: 1000, Purge: &p, Limits: &l, AwaitBegin: true})
 	}
@@ -236,8 +236,8 @@
 	const hour = 3.6e6
 	b, l := New(), Limits{Delay: 4000, Skew: 100, Batch: 1, MaxBounds: 100}
 	b.applyOrder(1, Tick, CommandData{At: 1000})
-	b.Member("g1", 1, true)
-	b.Member("g1", 1, false)
+	b.SetMember("g1", 1, true)
+	b.SetMember("g1", 1, false)
 	s := b.applyOrder(2, Accept, CommandData{At: hour, Purge: &Purge{ID: "p", Objects: []string{"a"}}, Limits: &l}).(State)
 	if s.Stage != Sent || b.Gateways["g1"].Since != hour {
 		t.Errorf("%v while a gateway just lost may serve older copies; lost at %v", s.Stage, b.Gateways["g1"].Since)
--- a/internal/purges/statemachine.go
+++ b/internal/purges/statemachine.go
@@ -125,9 +125,9 @@
 	return nil
 }
 
-// Member applies a membership change of a gateway in log order. A new incarnation starts with no confirmed index: it
+// SetMember applies a membership change of a gateway in log order. A new incarnation starts with no confirmed index: it
 // confirms what it has read of the log itself.
-func (b *StateMachine) Member(name string, incarnation uint64, joined bool) {
+func (b *StateMachine) SetMember(name string, incarnation uint64, joined bool) {
 	old := b.Gateways[name]
 	b.changes++
 	switch {
