Purges: provisional purges begin in the order of the log

Each starts behind those before it, so one that began first would have gone by the provisional end of the one before, and both would have gone out at once. Found by reading; TestLatePurgeBeginsOnceAgreed looks at the order.

--- a/internal/purges/driver/service.go
+++ b/internal/purges/driver/service.go
@@ -194,8 +194,8 @@
 	if s.followed.Leads {
 		before = math.Inf(1)
 	}
-	for _, id := range s.stateMachine.Provisional(before) {
-		s.propose(purges.Begin, id, purges.CommandData{At: now, ID: id})
+	for _, x := range s.stateMachine.Provisional(before) {
+		s.propose(purges.Begin, x.Purge.ID, purges.CommandData{At: now, ID: x.Purge.ID})
 	}
 }
 
--- a/internal/purges/schedule_test.go
+++ b/internal/purges/schedule_test.go
@@ -204,13 +204,16 @@
 	accept := func(index uint64, p Purge) {
 		b.applyOrder(index, Accept, CommandData{At: 1000, Purge: &p, Limits: &l, AwaitBegin: true})
 	}
-	accept(1, Purge{ID: "tag", Groups: []int64{7}})
+	accept(1, Purge{ID: "tag", Groups: []int64{7}}) // begun in this order, whatever the ids
 	accept(2, Purge{ID: "objects", Objects: []string{"a", "b"}})
 	v.Apply(b.TakeUpdate(false))
 	b.applyOrder(3, Confirm, CommandData{At: 8500, From: "g1", Index: 3})
 	if _, due, _ := b.NextBatch(9000); due || b.Purges["tag"].Stage != Sent || len(b.Provisional(9000)) != 2 {
 		t.Errorf("batch due %t, tag %v, provisional %v", due, b.Purges["tag"].Stage, b.Provisional(9000))
 	}
+	if b.Provisional(9000)[0] != b.Purges["tag"] {
+		t.Error("purges do not begin in log order")
+	}
 	b.applyOrder(4, Begin, CommandData{At: 9000, ID: "tag"})
 	b.applyOrder(5, Begin, CommandData{At: 9000, ID: "objects"})
 	b.applyOrder(6, Begin, CommandData{At: 9500, ID: "objects"})
--- a/internal/purges/statemachine.go
+++ b/internal/purges/statemachine.go
@@ -391,15 +391,16 @@
 	}
 }
 
-// Provisional returns the ids of the purges whose times are not fixed and were accepted before a time, sorted.
-func (b *StateMachine) Provisional(before float64) (ids []string) {
-	for id, s := range b.Purges {
+// Provisional returns the purges whose times are not fixed and were accepted before a time, in log order: each starts
+// behind those before it.
+func (b *StateMachine) Provisional(before float64) (all []*State) {
+	for _, s := range b.Purges {
 		if s.Provisional && s.Stage != Cancelled && s.Accepted < before {
-			ids = append(ids, id)
+			all = append(all, s)
 		}
 	}
-	slices.Sort(ids)
-	return ids
+	slices.SortFunc(all, byLogIndex)
+	return all
 }
 
 // All returns the purges in log order.
