--- a/internal/purges/purges_test.go
+++ b/internal/purges/purges_test.go
@@ -393,6 +393,18 @@
 			}
 		})
 	}
+	purge := State{Purge: Purge{ID: "p"}, Limits: Limits{Delay: 1000, Rate: 1000}}
+	for i := range 100_000 {
+		purge.Purge.Objects = append(purge.Purge.Objects, fmt.Sprintf("%016x", i))
+	}
+	var schedule Schedule
+	schedule.Update(purge)
+	bench.Run("100000 scheduled", func(bench *testing.B) {
+		bench.ReportAllocs()
+		for bench.Loop() {
+			schedule.Bound(1, "amber", "00000000000000ff")
+		}
+	})
 	s := NewBoundSet(1000)
 	for i := range maxPatterns {
 		s.Put(Mark{Pattern: fmt.Sprintf("[0-9a-f]{8}%08x", i), At: 1})
