Purges: a schedule tells two purges of one id apart

An id may be used again once its purge was evicted. A gateway that catches up could see both in one update, and would have kept positions of the first.

--- a/internal/purges/schedule.go
+++ b/internal/purges/schedule.go
@@ -22,16 +22,18 @@
 func (s *Schedule) Update(progress State) {
 	id := progress.Purge.ID
 	purge := s.purges[id]
+	if purge != nil && (progress.Stage != Publishing || progress.LogIndex != purge.LogIndex) { // over, or its id is used again
+		s.removeBefore(purge, len(purge.Purge.Objects))
+		delete(s.purges, id)
+		purge = nil
+	}
 	switch {
-	case purge == nil && progress.Stage == Publishing:
-		s.add(id, &progress)
+	case progress.Stage != Publishing:
 	case purge == nil:
-	case progress.Stage == Publishing:
+		s.add(id, &progress)
+	default:
 		s.removeBefore(purge, progress.Published)
 		*purge = progress
-	default:
-		s.removeBefore(purge, len(purge.Purge.Objects))
-		delete(s.purges, id)
 	}
 }
 
