--- a/internal/gateway/purge_bounds.go
+++ b/internal/gateway/purge_bounds.go
@@ -65,12 +65,13 @@
 	}
 }
 
-// blindCount returns how often a copy was checked without knowing all agreed purges, for the log.
-func (b *purgeBounds) blindCount() int {
+// checkCounts returns how often a copy was checked without knowing all agreed purges, and against an object whose batch is
+// late, for the log.
+func (b *purgeBounds) checkCounts() (blind, unpublished int) {
 	if b == nil {
-		return 0
+		return 0, 0
 	}
-	return b.view.StaleChecks
+	return b.view.StaleChecks, b.view.LateChecks
 }
 
 // maxRouterMarks is the largest batch of marks that is also passed to the router, which then forgets what it believes
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -272,8 +272,9 @@
 	if shares := l.core.FairStats(); shares != "" {
 		l.log.WithField("shares", shares).Info("fair door")
 	}
+	blind, unpublished := l.core.purges.checkCounts()
 	l.log.WithFields(logrus.Fields{
-		"blind": l.core.purges.blindCount(), "taken": c.Taken, "forbidden": c.Forbidden, "fulfilled": c.Fulfilled,
+		"blind": blind, "unpublished": unpublished, "taken": c.Taken, "forbidden": c.Forbidden, "fulfilled": c.Fulfilled,
 		"kept": c.Kept, "throttled": c.Throttled,
 		"abandoned": c.Abandoned, "left": c.Left, "departed": c.Departed, "refused": c.Refused, "turned": c.Turned, "overdue": c.Overdue,
 		"panics": c.Panics, "pulls": c.Pulls, "probes": c.Probes, "open": l.core.Open(),
--- a/internal/purges/view.go
+++ b/internal/purges/view.go
@@ -9,6 +9,7 @@
 	Delay       float64 // ms within which purges take effect at gateways that cannot receive them; 0: this gateway does not take part
 	Skew        float64
 	StaleChecks int // number of checks made without up-to-date knowledge of the log
+	LateChecks  int // number of checks of objects that are in force before they were published
 
 	skewWindow float64
 }
@@ -60,6 +61,9 @@
 func (v *View) MinCreated(now, known float64, object string, group int64, first bool) float64 {
 	hard, soft := v.Bounds.Bound(v.Club, object, group)
 	lateHard, lateSoft := v.Schedule.Bound(now, v.Club, object)
+	if lateHard > 0 || lateSoft > 0 {
+		v.LateChecks++
+	}
 	hard, soft = v.adjustForSkew(max(hard, lateHard), now), v.adjustForSkew(max(soft, lateSoft), now)
 	if v.Delay > 0 && now-known > blindAfter*v.Delay {
 		// An unknown purge that must already be in effect was accepted at least this long ago, so copies created later
