--- a/internal/purges/driver/service.go
+++ b/internal/purges/driver/service.go
@@ -179,26 +179,15 @@
 			s.propose(purges.Tick, "", purges.CommandData{At: unixMillis()})
 		}
 	}
-	s.proposeBegin()
+	for _, o := range s.stateMachine.BeginsToSend(unixMillis(), s.followed.Leads) {
+		s.propose(purges.Begin, o.ID, o)
+	}
 	token, owns := s.runner.Owns(BatchJob)
 	for _, o := range s.batches.Due(s.stateMachine, unixMillis(), token, owns, s.followed.Leads) {
 		s.proposeBatch(o)
 	}
 }
 
-// proposeBegin fixes the times of purges that were just accepted. The leader does so at once; others only if a purge is
-// still provisional after an eighth of the delay, as when the leader's file lacks the block.
-func (s *Service) proposeBegin() {
-	now := unixMillis()
-	before := now - s.block.Limits.Delay/8
-	if s.followed.Leads {
-		before = math.Inf(1)
-	}
-	for _, x := range s.stateMachine.Provisional(before) {
-		s.propose(purges.Begin, x.Purge.ID, purges.CommandData{At: now, ID: x.Purge.ID})
-	}
-}
-
 // proposeBatch proposes a batch. The replica repeats it until its outcome is known.
 func (s *Service) proposeBatch(o purges.CommandData) {
 	command := quorum.Command{StateMachine: StateMachineName, Kind: purges.Batch, Data: codec.Encode(o)}
--- a/internal/purges/purges_test.go
+++ b/internal/purges/purges_test.go
@@ -19,6 +19,20 @@
 	return b.Apply(index, kind, codec.Encode(o))
 }
 
+// NextBatch returns the batch to publish next if none is in flight, and whether it is due; late reports that the leader may
+// send it.
+func (b *StateMachine) NextBatch(now float64) (o CommandData, due, late bool) {
+	all := b.unpublished()
+	if len(all) == 0 {
+		return o, false, false
+	}
+	s := all[0]
+	if o = s.batchFrom(s.Published, now); !b.batchDue(s, o, now, b.PacedUntil) {
+		return CommandData{}, false, false
+	}
+	return o, true, s.overdue(o.First, now)
+}
+
 // model is the reference for the bounds: the plain list of all marks published so far.
 type model []struct {
 	Mark
--- a/internal/purges/schedule_test.go
+++ b/internal/purges/schedule_test.go
@@ -209,18 +209,18 @@
 	accept(2, Purge{ID: "objects", Objects: []string{"a", "b"}})
 	v.Apply(b.TakeUpdate(false))
 	b.applyOrder(3, Confirm, CommandData{At: 8500, From: "g1", Index: 3})
-	if _, due, _ := b.NextBatch(9000); due || b.Purges["tag"].Stage != Sent || len(b.Provisional(9000)) != 2 {
-		t.Errorf("batch due %t, tag %v, provisional %v", due, b.Purges["tag"].Stage, b.Provisional(9000))
+	if _, due, _ := b.NextBatch(9000); due || b.Purges["tag"].Stage != Sent {
+		t.Errorf("batch due %t, tag %v", due, b.Purges["tag"].Stage)
 	}
-	if b.Provisional(9000)[0] != b.Purges["tag"] {
-		t.Error("purges do not begin in log order")
+	if all := b.BeginsToSend(1500, false); len(all) != 2 || all[0].ID != "tag" || len(b.BeginsToSend(1499, true)) != 2 || len(b.BeginsToSend(1499, false)) != 0 {
+		t.Errorf("not begun in log order, by the leader at once and by others after an eighth of the delay: %v", all)
 	}
 	b.applyOrder(4, Begin, CommandData{At: 9000, ID: "tag"})
 	b.applyOrder(5, Begin, CommandData{At: 9000, ID: "objects"})
 	b.applyOrder(6, Begin, CommandData{At: 9500, ID: "objects"})
 	v.Apply(b.TakeUpdate(false))
 	tag, objects := b.Purges["tag"], b.Purges["objects"]
-	if tag.Effective() != 13_000 || objects.Effective() != 13_200 || len(b.Provisional(1e9)) != 0 || len(b.Unconfirmed(tag)) != 1 {
+	if tag.Effective() != 13_000 || objects.Effective() != 13_200 || len(b.BeginsToSend(1e9, true)) != 0 || len(b.Unconfirmed(tag)) != 1 {
 		t.Errorf("tag %+v, objects %+v", tag, objects)
 	}
 	if group, _ := v.Bounds.Bound("", "x", 7); group != 9100 {
--- a/internal/purges/statemachine.go
+++ b/internal/purges/statemachine.go
@@ -391,15 +391,19 @@
 	}
 }
 
-// Provisional returns the purges whose times are not fixed and were accepted before a time, in log order: each starts
-// behind those before it.
-func (b *StateMachine) Provisional(before float64) (all []*State) {
+// BeginsToSend returns the commands by which this gateway is to fix the times of purges, in log order: each starts behind
+// those before it. The leader sends them at once, others only if it does not.
+func (b *StateMachine) BeginsToSend(now float64, leads bool) (all []CommandData) {
+	var due []*State
 	for _, s := range b.Purges {
-		if s.Provisional && s.Stage != Cancelled && s.Accepted < before {
-			all = append(all, s)
+		if s.Provisional && s.Stage != Cancelled && (leads || now >= s.Accepted+beginAfter*s.Limits.Delay) {
+			due = append(due, s)
 		}
 	}
-	slices.SortFunc(all, byLogIndex)
+	slices.SortFunc(due, byLogIndex)
+	for _, s := range due {
+		all = append(all, CommandData{At: now, ID: s.Purge.ID})
+	}
 	return all
 }
 
--- a/internal/purges/timing.go
+++ b/internal/purges/timing.go
@@ -13,6 +13,10 @@
 	inForceAfter = 0.5  // every gateway applies it by its own clock
 )
 
+// beginAfter is the fraction of the delay after which any gateway begins a purge that the leader has not begun, as when the
+// leader's file lacks the block.
+const beginAfter = 0.125
+
 // paceTolerance is the time, in ms, by which a batch may precede its turn under the rate, so that the intervals at which
 // batches are looked for do not slow them down.
 const paceTolerance = 100.0
@@ -104,17 +108,3 @@
 	}
 	return now >= pacedUntil-paceTolerance || now >= s.inForceAt(o.Next-1)
 }
-
-// NextBatch returns the batch to publish next under the rate of the limits, and whether it is due; late reports that
-// the leader is to send it because its owner did not.
-func (b *StateMachine) NextBatch(now float64) (o CommandData, due, late bool) {
-	all := b.unpublished()
-	if len(all) == 0 {
-		return o, false, false
-	}
-	s := all[0]
-	if o = s.batchFrom(s.Published, now); !b.batchDue(s, o, now, b.PacedUntil) {
-		return CommandData{}, false, false
-	}
-	return o, true, s.overdue(o.First, now)
-}
